Log why calls are given up, the caps, and what attempts came to

Two lines every five seconds now tell them: the module's, with the calls given up by reason, the queue, the ratio and each pool's cap and median latency; and the sidecar's, with the attempts' outcomes, the connections opened and whether a broken one was fresh or used before.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -132,6 +132,8 @@
 ASK_BACKOFF_MAX_US = 8_000_000
 SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
 
+STATE_EVERY_US = 5_000_000  # the state is logged so often, while calls come
+
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 SWEEP, ASK = "sweep", "ask"
@@ -637,6 +639,8 @@
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
         self.fleet_latency = 0.0
         self.sweep_at = -1
+        self.given_up: dict[str, int] = {}  # calls that ended unserved since the last line, by reason
+        self.next_state = now_us + STATE_EVERY_US
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.ask_wait = ASK_BACKOFF_US
         self.asking = False
@@ -728,6 +732,8 @@
         if now_us >= buckets.next_refill:
             buckets.refill(now_us)
             self._share_out()
+            if now_us >= self.next_state:
+                self._log_state(now_us)
         bucket = buckets.find(tenant or "")
         new = self.calls[call] = Call(call, self.classes[grade], now_us, now_us + expires_in_us, bucket)
         bucket.heard = now_us
@@ -740,22 +746,22 @@
         new.level = self.level[grade, over]
         age = self.tries[grade].age(expires_in_us, new.grade.deadline_us) if not self.settings.layer else 0
         if expires_in_us <= 0:
-            self._refuse(new)
+            self._refuse(new, "no time")
             return
         if not new.grade.late_share:
             # Guards against repeats that can no longer be worth anything.
             usual = self.placement[grade].local.limit.median * HOPELESS
             new.due = min(new.due, now_us + new.grade.aim_us - age)
             if new.due - now_us <= new.grade.aim_us * usual:
-                self._refuse(new)
+                self._refuse(new, "hopeless")
                 return
         low = self.worth[new.level] < LOW_WORTH
         outer = self.settings.layer == 0
         if outer and over and (stress > 0 or self.scarcity > SCARCE):
-            self._refuse(new)
+            self._refuse(new, "over share")
             return
         if outer and self.queue.refusing(now_us):
-            self._refuse(new)
+            self._refuse(new, "sojourn")
             return
         if not over:
             bucket.tokens -= inflated
@@ -766,7 +772,7 @@
         if at_once:
             return
         if outer and low and (stress > 0 or self.queue.count):
-            self._refuse(new)
+            self._refuse(new, "low tier")
             return
         self._hold(now_us, new)
 
@@ -774,7 +780,7 @@
         share = HOLD_SHARE_INSIDE if self.settings.layer else HOLD_SHARE
         until = min(now + int(share * call.grade.aim_us), call.due - ANSWER_MARGIN_US)
         if until <= now:
-            self._refuse(call)
+            self._refuse(call, "no time")
             return
         self.queue.push(call, until)
         self._sweep_later(now)
@@ -789,7 +795,7 @@
         self._dispatch(now)
         while (call := queue.overdue(now)) is not None:
             queue.take(call)
-            self._refuse(call)
+            self._refuse(call, "held too long")
         queue.watch(now)
         while self.copies and self.copies[0][0] <= now:
             self._copy(now, self.copies.popleft()[1])
@@ -820,8 +826,9 @@
                     break
                 queue.take(call)
 
-    def _refuse(self, call: Call) -> None:
+    def _refuse(self, call: Call, why: str) -> None:
         """Final answer without a result: `shed` where that is legal."""
+        self.given_up[why] = self.given_up.get(why, 0) + 1
         if may_refuse(
             call.grade.effect, call.grade.group, call.first_run is not None or bool(call.outstanding)
         ):
@@ -1073,7 +1080,23 @@
                 if pool.subset.members and (endpoint := self._pick(now, pool, call)) is not None:
                     self._send(now, call, endpoint, pool)
                     return
-        self._refuse(call)
+        self._refuse(call, outcome.name.lower().replace("_", " "))
+
+    def _log_state(self, now: int) -> None:
+        """What bears on a call's fate: one line for on-call staff, now and then."""
+        self.next_state = now + STATE_EVERY_US
+        reasons = ", ".join(f"{why} {n}" for why, n in sorted(self.given_up.items())) or "none"
+        self.given_up.clear()
+        pools = "; ".join(
+            f"{name} {len(pool.subset.members)} endpoints, cap {pool.limit.cap:.1f}, "
+            f"out {pool.limit.in_flight}, median {pool.limit.median:.3f} over {pool.limit.base:.3f}"
+            for placement in self.placements
+            for name, pool in zip(("near", "far"), placement.pools, strict=True)
+        )
+        self.actions.write_log(
+            f"given up: {reasons}; held {self.queue.count}, ratio {self.ratio.value:.2f}, "
+            f"scarcity {self.scarcity:.2f}; {pools}"
+        )
 
     def expired(self, now_us: int, call: str) -> None:
         found = self.calls.get(call)
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -82,7 +82,7 @@
     server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
     await server.bind(config.listen.host, config.listen.port)
     host.start()
-    chores = (host.upstream.sweep(), server.watch_callers(), watch_lag())
+    chores = (host.upstream.sweep(), host.upstream.report(), server.watch_callers(), watch_lag())
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -174,6 +174,7 @@
 
     def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         request.out -= 1
+        self.upstream.count(outcome.name.lower())
         if outcome is Outcome.OK and response is not None:
             self._answer(request, 200, response.headers, response.body)
         if request.answered and not request.out:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -20,6 +20,7 @@
 IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
 IDLE_US = 5_000_000  # that time, where it is not told
 SWEEP_S = 0.25  # how often idle connections are looked at
+TALLY_EVERY_S = 5.0  # how often the attempts' outcomes are logged
 MAX_RESPONSE = 1 << 20  # bytes of a body: far more than the protocol allows is no answer
 
 # Headers that belong to one connection, and not to the message: RFC 9110, 7.6.1.
@@ -58,6 +59,7 @@
         self.written = False  # whether the last byte of the request has left for the kernel
         self.lost = False
         self.idle_since = 0
+        self.exchanges = 0  # requests written to it
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
@@ -87,6 +89,7 @@
 
     def send(self, data: bytes) -> None:
         self.busy = self.written = True
+        self.exchanges += 1
         self.transport.write(data)
 
     def pause_writing(self) -> None:
@@ -242,6 +245,7 @@
         attempt, connection.attempt = connection.attempt, None
         if attempt is not None:
             attempt.connection = None
+            self.upstream.count("broken fresh" if connection.exchanges == 1 else "broken reused")
             # Not wholly written: the endpoint begins with the last byte, so it never ran.
             attempt.end(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
 
@@ -275,6 +279,20 @@
         self.open = 0  # connections that are up or coming up
         self.pools: dict[str, Pool] = {}
         self._connecting: set[asyncio.Task[None]] = set()
+        self._tally: dict[str, int] = {}  # since the last line
+
+    def count(self, what: str) -> None:
+        self._tally[what] = self._tally.get(what, 0) + 1
+
+    async def report(self) -> None:
+        """Log what attempts came to and what connections they took, in one line now and then."""
+        while True:
+            await asyncio.sleep(TALLY_EVERY_S)
+            if self._tally:
+                tally = ", ".join(f"{what} {n}" for what, n in sorted(self._tally.items()))
+                idle = sum(len(pool.idle) for pool in self.pools.values())
+                log.info("attempts: %s; %d connections, %d idle", tally, self.open, idle)
+                self._tally.clear()
 
     async def sweep(self) -> None:
         """Close idle connections well before their endpoints do: one that crosses a request resets it."""
@@ -319,6 +337,7 @@
             self._write(attempt, connection, pool)
         elif self.open < self.most or self._make_room():
             self.open += 1
+            self.count("opened")
             task = loop.create_task(self._connect(attempt, pool))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -372,3 +372,17 @@
     host.reply(call, Outcome.ERROR, spent=S)
     host.advance(S)
     assert len(host.sends(call)) <= 2
+
+
+def test_state_line_tells_why_calls_were_given_up() -> None:
+    """Nothing in the logs of the recorded days told a refusal by the queue from one by an endpoint."""
+    host = Host(entries=endpoints(4))
+    held_calls(host, 2)
+    host.advance(120 * MS + SOJOURN_INTERVAL_US + 25 * MS)
+    host.order()
+    host.advance(6 * S)
+    host.order()
+    lines = [d[1] for d in host.did if d[0] == "write_log"]
+    assert len(lines) == 1
+    assert lines[0].startswith("given up: held too long 2, sojourn 1; held 0, ratio 1.00")
+    assert "near 4 endpoints, cap 6.0" in lines[0]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,7 +19,7 @@
 from eiderhub.interface import ListForm, Outcome, Readiness
 from eiderhub.sidecar import __main__ as program
 from eiderhub.sidecar import host as hosting
-from eiderhub.sidecar import server
+from eiderhub.sidecar import server, upstream
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
@@ -674,6 +674,30 @@
     run(test())
 
 
+def test_outcomes_of_attempts_are_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = await sidecar.client()
+            client.send()
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await client.answer()).status == 200
+            client.send()
+            (await sidecar.endpoints[0].next()).reset()
+            assert (await client.answer()).status == 502
+            monkeypatch.setattr(upstream, "TALLY_EVERY_S", 0.01)
+            caplog.set_level(logging.INFO)
+            report = asyncio.create_task(sidecar.host.upstream.report())
+            while not caplog.records:
+                await asyncio.sleep(0.01)
+            report.cancel()
+            expected = "attempts: broken reused 1, ok 1, opened 1, reset 1; 0 connections, 0 idle"
+            assert caplog.messages[0] == expected
+
+    run(test())
+
+
 def test_log_lets_few_lines_through_each_second() -> None:
     sparse = program.Sparse()
     records = [logging.makeLogRecord({"created": 7.0 + i / 1000}) for i in range(1001)]
