End callers that send no whole request within 2.5 s of connecting

Peers connect and say nothing, or stop inside the headers. TERMS owes them an error or a close within 3 s of connecting.

Ruled out: our answers asking clients to close (no such answer among those that ended).

At fault: Server.watch_callers looked only at requests that had begun, and gave them 10 s from their first byte. A caller now has 2.5 s from connecting for its first whole request, and as long for a later one from its first byte: 408 where something came, a close where nothing did.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -17,8 +17,8 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 MAX_DEADLINE_MS = 3_600_000
-READ_S = 10.0  # a request that has not come whole by then never will: callers give up sooner
-READ_CHECK_S = 1.0
+READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
+READ_CHECK_S = 0.25
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 BACKLOG = 1024
 BUSY_WAIT = b"1"  # Retry-After where no descriptor is left
@@ -57,7 +57,7 @@
         self.waiting: list[Incoming] = []  # came before the answer to the one before
         self.keep = True
         self.receiving = False
-        self.began_us = 0  # when the request that is coming in began
+        self.due_us = 0  # by when the first request, or the one that comes in, must be whole; 0: none is due
         self.ended = False  # nothing that still comes is read
         self.fault: Rejected | None = None
         self.parser = httptools.HttpRequestParser(self)
@@ -67,6 +67,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        self.due_us = now_us() + int(READ_S * 1e6)
         self.server.joined(self)
 
     def data_received(self, data: bytes) -> None:
@@ -101,7 +102,7 @@
 
     def on_message_begin(self) -> None:
         self.receiving = True
-        self.began_us = now_us()
+        self.due_us = self.due_us or now_us() + int(READ_S * 1e6)
         self._url = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -132,6 +133,7 @@
 
     def on_message_complete(self) -> None:
         self.receiving = False
+        self.due_us = 0
         self._accept(
             Incoming(
                 self.parser.get_method(),
@@ -250,13 +252,17 @@
         self.open_ids.discard(request_id)
 
     async def watch_callers(self) -> None:
-        """Guards the descriptors against callers that never finish what they began to send."""
+        """Guards the descriptors against callers that never begin, or never finish what they send."""
         while True:
             await asyncio.sleep(READ_CHECK_S)
-            before = now_us() - int(READ_S * 1e6)
+            now = now_us()
             for caller in list(self.callers):
-                if caller.receiving and not caller.ended and caller.began_us < before:
+                if not caller.due_us or caller.ended or now < caller.due_us:
+                    continue
+                if caller.receiving:
                     caller.stop(Rejected(408, "the request did not come whole"))
+                else:
+                    caller.transport.close()
 
     def close_idle(self) -> None:
         for caller in list(self.callers):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -396,9 +396,9 @@
         monkeypatch.setattr(server, "READ_S", 0.05)
         monkeypatch.setattr(server, "READ_CHECK_S", 0.02)
         async with Sidecar() as sidecar:
-            watch = asyncio.create_task(sidecar.server.watch_callers())
             client = await sidecar.client()
             assert await ready(client) == 200
+            watch = asyncio.create_task(sidecar.server.watch_callers())
             client.writer.write(HEAD.encode())
             assert (await client.answer()).status == 408
             assert await client.reader.read() == b""
@@ -463,6 +463,32 @@
     run(test())
 
 
+def test_caller_that_sends_nothing_is_closed_and_one_that_has_asked_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """TERMS: who sends no request is owed an end within 3 s. Seen on case9367: it kept its place."""
+    assert server.READ_S + server.READ_CHECK_S < 3.0
+
+    async def test() -> None:
+        monkeypatch.setattr(server, "READ_S", 0.3)
+        monkeypatch.setattr(server, "READ_CHECK_S", 0.01)
+        async with Sidecar() as sidecar:
+            kept = await sidecar.client()
+            kept.send()
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await kept.answer()).status == 200
+            silent = await sidecar.client()
+            watch = asyncio.create_task(sidecar.server.watch_callers())
+            assert await silent.reader.read() == b""
+            monkeypatch.setattr(server, "READ_S", 10.0)
+            kept.send()
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await kept.answer()).status == 200
+            watch.cancel()
+
+    run(test())
+
+
 def test_callers_past_the_bound_close_the_idle_and_are_refused_while_all_are_busy() -> None:
     async def test() -> None:
         async with Sidecar(callers=1) as sidecar:
