Let a copy with few near endpoints count on the far ones for its part

The one near endpoint is crowded while three stand by.

At fault: Balancer._fill_pools gave the near pool all of a copy's fair part, two endpoints' worth here, however few endpoints stand there, and the far pool a fixed quarter, on the ground that other zones have callers of their own. With two copies in three zones, one zone has none. A copy now takes from near what its endpoints can be counted as, and from far the rest of its part, at least the quarter as before.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -682,12 +682,15 @@
             far = [e for e in allowed if e.zone != s.zone]
             placement.size = len(allowed)
             # Copies are spread over the zones about as endpoints are; other zones have their own to carry.
+            # Danger: few copies leave zones without one, whose endpoints would sit idle while copies that
+            # take what is near for all their fair part crowd it and refuse.
             fair = len(allowed) / s.balancers
+            own = min(fair, len(near))
             for pool, members, part in (
-                (placement.local, near, 1.0),
-                (placement.remote, far, REMOTE_PART if near else 1.0),
+                (placement.local, near, own),
+                (placement.remote, far, max(fair - own, REMOTE_PART * fair)),
             ):
-                pool.limit.size(fair * part)
+                pool.limit.size(part)
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
                 pool.subset.fill(members, s.rank, s.balancers, size)
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from eiderhub.balancer import SOJOURN_INTERVAL_US, ConcurrencyLimit, TokenBuckets
+from eiderhub.balancer import SOJOURN_INTERVAL_US, START_CALLS, ConcurrencyLimit, TokenBuckets
 from eiderhub.interface import Goal, Limits, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -374,6 +374,18 @@
     assert len(host.sends(call)) <= 2
 
 
+def test_copy_with_few_near_endpoints_counts_on_the_far_for_the_rest_of_its_part() -> None:
+    """Found on case9367: one near endpoint was crowded while three in zones without callers sat idle."""
+    listed = endpoints(1) + endpoints(3, zone="west", start=4)
+    host = Host(settings(balancers=2, tenants=()), listed)
+    for _ in range(60):
+        host.order(tenant="")
+    host.advance(100 * MS)
+    near = [d for d in host.sends() if d[2] == listed[0].id]
+    assert START_CALLS <= len(near) <= START_CALLS + 2
+    assert START_CALLS <= len(host.sends()) - len(near) <= START_CALLS + 2
+
+
 def test_state_line_tells_why_calls_were_given_up() -> None:
     """Nothing in the logs of the recorded days told a refusal by the queue from one by an endpoint."""
     host = Host(entries=endpoints(4))
