Let an attempt wait no longer than its answer is worth something

At the first tier 4 to 6 of some 17 calls were 2.5 to 5.7 s old, past the aim of either class (1.5 and 2.5 s), at each of its endpoints: machines further in that take requests and answer none hold the callers' places at every tier above them.

It now hands off with the time left to that; the call then fails at once.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -983,7 +983,9 @@
         pool.sent += 1
         e.in_flight += 1
         pool.limit.in_flight += 1
-        self.actions.hand_off(call.id, e.id, 0)
+        # Danger: a call past its due is worth nothing to anybody, but at a silent endpoint it keeps its place
+        # under the cap, here and at each tier above, until the client quits; a few of them fill it.
+        self.actions.hand_off(call.id, e.id, max(1, call.due - now))
 
     # --- outcomes ---
 
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -190,6 +190,7 @@
         self.over = True
         if self.alarm is not None:
             self.alarm.cancel()
+            self.alarm = None  # it points back at the attempt
         self.on_end(self, outcome, response)
 
     def drop(self, outcome: Outcome) -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -374,6 +374,18 @@
     assert len(host.sends(call)) <= 2
 
 
+def test_attempt_waits_no_longer_than_its_answer_has_worth() -> None:
+    """Found on case1319: calls long past their aim filled the cap, at silent endpoints behind sound ones."""
+    late = replace(UNSAFE, name="late", late_share=0.5)
+    host = Host(settings(classes=(SAFE, UNSAFE, late)), endpoints(4))
+    call = host.order("pay", left=5 * S)
+    assert [d[3] for d in host.sends(call)] == [UNSAFE.aim_us]
+    host.advance(UNSAFE.aim_us)
+    host.reply(call, Outcome.TIMEOUT, spent=UNSAFE.aim_us)
+    assert host.answers(call) == ["surrender"]
+    assert [d[3] for d in host.sends(host.order("late", left=5 * S))] == [5 * S]
+
+
 def test_copy_with_few_near_endpoints_counts_on_the_far_for_the_rest_of_its_part() -> None:
     """Found on case9367: one near endpoint was crowded while three in zones without callers sat idle."""
     listed = endpoints(1) + endpoints(3, zone="west", start=4)
