Let only failures that count mark an endpoint's last failure

Evidence: the tally lines: one copy had 11, 11 and 6 time-outs in three lines, another 9, and neither logged a single ejection. Those whose calls did not overlap ejected after two time-outs, as they should.

Ruled out: busy endpoints taken for ill (a time-out at an endpoint that answers others is not the common case here: exempting it changed nothing and cost the module's score); idle connections that died unseen (32 of 52 time-outs were on connections just opened).

At fault: Balancer._judge counts a failure only if its call was sent after the last failure, so that one pause counts once, but set the time of that last failure for those it had not counted as well. Where calls to a hung endpoint overlap, each began before the one before it ended: only the first ever counts.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1040,11 +1040,13 @@
             failed = 0.0 if ok else 1.0
             self.fleet_failing += FLEET_WEIGHT * (failed - self.fleet_failing)
             # Guards against one pause that fails all calls in flight: together they count as one failure.
+            # Danger: what is not counted must not count as the last failure either. At a silent endpoint each
+            # call that ends began before the one before it ended, and none but the first would ever count.
             if ok or sent >= e.failed_at:
                 e.failing += HEALTH_WEIGHT * (failed - e.failing)
-            if failed:
-                e.failed_at = now
-                self._consider_ejecting(now, e)
+                if failed:
+                    e.failed_at = now
+                    self._consider_ejecting(now, e)
         if ok or outcome is Outcome.TIMEOUT:
             if not self.fleet_latency:
                 self.fleet_latency = share
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -374,6 +374,22 @@
     assert len(host.sends(call)) <= 2
 
 
+def test_silent_endpoint_is_ejected_although_its_calls_overlap() -> None:
+    """Found on case1319: a copy sent a hung endpoint eleven calls in five seconds and never ejected it."""
+    host = Host(settings(balancers=1), endpoints(4))
+    silent = endpoints(1)[0].id
+    out: list[tuple[int, str]] = []
+    for _ in range(100):
+        host.advance(50 * MS)
+        out.append((host.now, host.order("pay", left=5 * S)))
+        while host.now - out[0][0] >= 600 * MS:
+            call = out.pop(0)[1]
+            if call in host.sent:
+                ill = host.sent[call] == [silent]
+                host.reply(call, Outcome.TIMEOUT if ill else Outcome.OK, spent=600 * MS)
+    assert any(d[0] == "write_log" and d[1].startswith(f"endpoint {silent} ejected") for d in host.did)
+
+
 def test_attempt_waits_no_longer_than_its_answer_has_worth() -> None:
     """Found on case1319: calls long past their aim filled the cap, at silent endpoints behind sound ones."""
     late = replace(UNSAFE, name="late", late_share=0.5)
