Keep the uncrowded median from following a crowded one up

Evidence: the state lines of a first-tier sidecar. Its one near endpoint's cap goes from 16 to 103, with up to 70 calls out, the median from 0.26 to 0.64 of the aim and the uncrowded median it is judged by from 0.26 to 0.51; all the while the far pool has 3 endpoints, a cap of 32 to 43 and no call out.

Ruled out: calls never released (calls out follow the load); what is kept of endpoints that are gone (the ledger tier is the one released, and its callers' medians stay at 0.02 to 0.04).

At fault: ConcurrencyLimit.learn let the uncrowded median rise by 1% with every round, whatever the round was. While the cap binds, the median is that of a crowd, the target 1.3 times the base lets some more in, and both climb. The base now rises only with rounds in which the cap was not in the way, or stood at its floor, where nothing is left to cut.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -70,7 +70,7 @@
 TARGET_LEAST_RISE = 1.3  # and the least rise, where the uncrowded median takes much of the aim already
 TARGET_SHARE = 0.3  # nor may the median pass this share of the aim, divided by layer + 1
 BASE_WEIGHT = 0.3  # weight of the newest round in the median that the uncrowded median is taken from
-BASE_DRIFT = 1.01  # rise of the uncrowded median with each round, so that it can follow a lasting change
+BASE_DRIFT = 1.01  # rise of the uncrowded median with each uncrowded round, to follow a lasting change
 ROUND_SAMPLES = 8  # outcomes that make a round: the cap moves once a round
 ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
 GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
@@ -348,7 +348,10 @@
         median = self.round.above(0.5)
         self.median += (BASE_WEIGHT if self.median else 1.0) * (median - self.median)
         # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
-        self.base = min(self.base * BASE_DRIFT if self.base else self.normal, self.median)
+        # Danger: with the cap in the way the median is a crowded one. A base that follows it lifts the target,
+        # and that the cap, for as long as calls come: one near endpoint is choked while the far sit idle.
+        drift = 1.0 if self.bound and self.cap > self.floor else BASE_DRIFT
+        self.base = min(self.base * drift if self.base else self.normal, self.median)
         target = max(TARGET_LEAST_RISE * self.base, min(TARGET_RISE * self.base, self.most))
         self.slack = min(1.0, max(0.0, TARGET_RISE * (1.0 - median / target)))
         if median > target:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -374,6 +374,16 @@
     assert len(host.sends(call)) <= 2
 
 
+def test_cap_does_not_follow_the_crowd_that_it_lets_in() -> None:
+    """Found on case562: a cap rose from 16 to over 100 within minutes, and the latency doubled."""
+    limit = ConcurrencyLimit(0)
+    limit.size(2.0)
+    for i in range(40_000):
+        limit.in_flight = int(limit.cap)  # there is always more to send
+        limit.learn(i * S, i * S, 0.2 * max(1.0, limit.cap / 15.0))  # past 15 calls, latency is all queueing
+    assert 15.0 < limit.cap < 30.0
+
+
 def test_silent_endpoint_is_ejected_although_its_calls_overlap() -> None:
     """Found on case1319: a copy sent a hung endpoint eleven calls in five seconds and never ejected it."""
     host = Host(settings(balancers=1), endpoints(4))
