--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -348,7 +348,7 @@
         median = self.round.above(0.5)
         self.median += (BASE_WEIGHT if self.median else 1.0) * (median - self.median)
         # Guards against a start amid overload: what was always slow is not taken for the uncrowded state.
-        # Danger: with the cap in the way the median is a crowded one. A base that follows it lifts the target,
+        # Danger: with the cap in the way the median is a crowded one. A base that follows it lifts the target
         # and that the cap, for as long as calls come: one near endpoint is choked while the far sit idle.
         drift = 1.0 if self.bound and self.cap > self.floor else BASE_DRIFT
         self.base = min(self.base * drift if self.base else self.normal, self.median)
