Follow discovery to its new address on SIGHUP

No handler was there, and Watcher kept the address it was made with.

serve() now handles the signal: the address is read from the file, for the variable still holds the one before, and the watch goes on there at once from the generation it has, whatever backoff is under way. A file that cannot be read is logged, and the watch stays where it is.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from eiderhub.sidecar.clock import now_us
-from eiderhub.sidecar.config import Config, ConfigError, load
+from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.server import Server
 
@@ -73,12 +73,24 @@
     await asyncio.sleep(FLUSH_S)
 
 
+def reload(host: Host) -> None:
+    """SIGHUP: follow discovery to the address that the configuration file names now."""
+    try:
+        address = load_discovery(os.environ)
+    except ConfigError as error:
+        log.error("the configuration was not reloaded: %s", error)
+        return
+    log.info("discovery is at %s:%d now", address.host, address.port)
+    host.watcher.move(address.host, address.port)
+
+
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     host = Host(config)
+    loop.add_signal_handler(signal.SIGHUP, reload, host)
     server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
     await server.bind(config.listen.host, config.listen.port)
     host.start()
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -62,6 +62,11 @@
     return document
 
 
+def load_discovery(environ: Mapping[str, str]) -> Address:
+    """Discovery's address as the file has it now: after SIGHUP the variable still holds the one before."""
+    return parse_address(_document(environ.get("GW_CONFIG", "")).get("discovery"), "discovery")
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration; the variables stand above what the file says of the same."""
     path = environ.get("GW_CONFIG")
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -92,6 +92,12 @@
             self._task = None
             self._hang_up()  # its answer would come in for the next watch
 
+    def move(self, host: str, port: int) -> None:
+        """Discovery answers elsewhere from now on: watch there at once, whatever backoff is under way."""
+        self.turn(False)
+        self.host, self.port = host, port
+        self.turn(True)
+
     async def _run(self) -> None:
         wait, most = PUSH_BACKOFF_S
         while True:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -837,3 +837,36 @@
             process.communicate()
 
     run(test())
+
+
+def test_sighup_moves_the_watch_to_the_new_address_and_ends_nothing(tmp_path: Path) -> None:
+    """TERMS: a reload names another discovery; a sidecar that ends on the signal has crashed."""
+
+    async def test() -> None:
+        before, after = await Fake().start(), await Fake().start()
+        changes = {"settings": SETUP, "discovery": before.address}
+        process = started(tmp_path, changes)
+        try:
+            assert process.stderr is not None
+            while "serves on" not in await asyncio.to_thread(process.stderr.readline):
+                pass
+            asked = await before.next()
+            path = tmp_path / "config.json"
+            whole = path.read_text(encoding="utf-8")
+            path.write_text("{", encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            while "was not reloaded" not in await asyncio.to_thread(process.stderr.readline):
+                pass
+            path.write_text(whole.replace(before.address, after.address), encoding="utf-8")
+            asked.reply(200, listing(41, True, row("s-0", "127.0.0.1:1")))
+            await before.next()
+            process.send_signal(signal.SIGHUP)
+            moved = await after.next()
+            assert moved.message.first.startswith("GET /discovery/hosts?after=41&")
+            assert await before.ends.get() == 0
+            assert process.poll() is None
+        finally:
+            process.kill()
+            process.communicate()
+
+    run(test())
