Avoid an endpoint that has gone mute and eject it at its first time-out

A call that has waited thirty medians at a machine that answered no other meanwhile says as much as two such calls do, and until it ends the endpoint looks idle: it holds one or two calls, as its busy peers do, and so gets the next.

Ruled out: idle connections that died unseen (time-outs are mostly on fresh connections); a crowd (the copies are far below their caps, and an endpoint that answers others is not taken for mute).

Balancer now notes since when an endpoint owes answers and has given none. Past ten usual latencies its load counts tenfold in the draw of two, and a time-out there is evidence enough to eject. At the first two tiers a call's due comes before ten medians, so nothing changes where calls wait on tiers behind.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -96,6 +96,7 @@
 SUBSET_PER_CALL = 2.0  # endpoints for each call of the cap: a hot copy spreads wider
 REDRAWS = 4  # tries to draw an endpoint that may take the call
 HEALTH_WEIGHT = 0.3  # weight of the newest outcome in an endpoint's failure share
+MUTE_RISE = 10.0  # an endpoint that has answered nothing for so many usual (median) latencies is mute
 FLEET_WEIGHT = 0.02  # and in the failure share of all
 EJECT_FAILING = 0.45  # failure share at which an endpoint is ejected: two failures in a row pass it
 EJECT_VERSUS_PEERS = 0.5  # and this share of all endpoints' failure share more: shared trouble ejects nobody
@@ -135,6 +136,7 @@
 STATE_EVERY_US = 5_000_000  # the state is logged so often, while calls come
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
+ANSWERED = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL))
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 SWEEP, ASK = "sweep", "ask"
 
@@ -416,7 +418,7 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "launched", "order", "ready", "slow", "used", "weight", "zone",
+        "in_flight", "kind", "launched", "order", "owes", "ready", "slow", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -426,6 +428,7 @@
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.failed_at = 0
+        self.owes = 0  # since when calls are out to it and none has been answered; 0: none are
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
         self.credit_at = 0
         self.used = 0  # when a connection to it was last in use; 0: never
@@ -916,6 +919,9 @@
             ):
                 continue
             load = (e.in_flight + 1) / (e.weight * part)
+            # Danger: what a mute endpoint holds is soon no more than what its busy peers do, call after call.
+            if self._mute(now, e, pool, call):
+                load *= MUTE_RISE
             if e.slow:
                 load *= e.slow
             if best is None or load < best_load:
@@ -925,6 +931,11 @@
                 break
         return best
 
+    def _mute(self, now: int, e: EndpointState, pool: Pool, call: Call) -> bool:
+        """Whether calls are out to the endpoint and it has answered none for far longer than is usual."""
+        usual = pool.limit.median * call.grade.aim_us
+        return e.owes > 0 and now - e.owes > MUTE_RISE * usual > 0
+
     def _part(self, now: int, e: EndpointState, warmth: float) -> float:
         """The part of a warm peer's calls that this endpoint may have: slow start, ejection and return.
 
@@ -985,6 +996,7 @@
         e.credit -= 1.0 if e.credit >= 1.0 else 0.0
         pool.sent += 1
         e.in_flight += 1
+        e.owes = e.owes or now
         pool.limit.in_flight += 1
         # Danger: a call past its due is worth nothing to anybody, but at a silent endpoint it keeps its place
         # under the cap, here and at each tier above, until the client quits; a few of them fill it.
@@ -1013,6 +1025,9 @@
         found.outstanding.discard(attempt)
         e, sent, pool, step = found.attempts[attempt]
         e.in_flight -= 1
+        mute = outcome is Outcome.TIMEOUT and self._mute(now_us, e, pool, found)
+        if outcome in ANSWERED or not e.in_flight:
+            e.owes = now_us if e.in_flight else 0
         e.used = now_us
         pool.limit.in_flight -= 1
         if step >= 0 and outcome not in NEVER_RAN:
@@ -1020,7 +1035,7 @@
             long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
             if not silent or long or outcome is Outcome.RESET:
                 self.idle.learn(step, silent)
-        self._judge(now_us, found, e, pool, sent, spent_us, outcome)
+        self._judge(now_us, found, e, pool, sent, spent_us, outcome, mute)
         if outcome not in NEVER_RAN and (found.first_run is None or sent < found.first_run[0]):
             found.first_run = (sent, e.zone, e.cell)
         if found.answered or closed:
@@ -1032,7 +1047,15 @@
             self._dispatch(now_us)
 
     def _judge(
-        self, now: int, call: Call, e: EndpointState, pool: Pool, sent: int, spent: int, outcome: Outcome
+        self,
+        now: int,
+        call: Call,
+        e: EndpointState,
+        pool: Pool,
+        sent: int,
+        spent: int,
+        outcome: Outcome,
+        mute: bool,
     ) -> None:
         """Learn from an outcome: the endpoint's health, the ratio, the cap and the tenant's bill."""
         if outcome is Outcome.MOOT or outcome is Outcome.CANCELLED:
@@ -1046,7 +1069,7 @@
             # Danger: what is not counted must not count as the last failure either. At a silent endpoint each
             # call that ends began before the one before it ended, and none but the first would ever count.
             if ok or sent >= e.failed_at:
-                e.failing += HEALTH_WEIGHT * (failed - e.failing)
+                e.failing += (1.0 if mute else HEALTH_WEIGHT) * (failed - e.failing)
                 if failed:
                     e.failed_at = now
                     self._consider_ejecting(now, e)
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,7 +4,13 @@
 
 from dataclasses import replace
 
-from eiderhub.balancer import SOJOURN_INTERVAL_US, START_CALLS, ConcurrencyLimit, TokenBuckets
+from eiderhub.balancer import (
+    EJECT_FAILING,
+    SOJOURN_INTERVAL_US,
+    START_CALLS,
+    ConcurrencyLimit,
+    TokenBuckets,
+)
 from eiderhub.interface import Goal, Limits, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
@@ -400,6 +406,37 @@
     assert any(d[0] == "write_log" and d[1].startswith(f"endpoint {silent} ejected") for d in host.did)
 
 
+def test_mute_endpoint_is_avoided_and_leaves_at_its_first_time_out() -> None:
+    """Found on case562: each copy lost two calls and more to every hung endpoint before it ejected it."""
+    host = warmed("pay")
+    first = host.order("pay")
+    mute = host.sent[first][0]
+    host.advance(500 * MS)
+    busy = [host.order("pay") for _ in range(24)]
+    assert not any(host.sent[call] == [mute] for call in busy if call in host.sent)
+    for call in busy:
+        if call in host.sent:
+            host.reply(call, Outcome.OK, spent=20 * MS)
+    host.advance(1500 * MS)
+    host.reply(first, Outcome.TIMEOUT, spent=2 * S)
+    assert host.balancer.endpoints[mute].ejected_until > host.now
+
+
+def test_time_out_at_an_endpoint_that_answers_others_is_one_failure_among_them() -> None:
+    host = Host(settings(balancers=1), endpoints(1))
+    for _ in range(100):
+        call = host.order("pay")
+        host.advance(20 * MS)
+        host.reply(call, Outcome.OK, spent=20 * MS)
+    first = host.order("pay")
+    for _ in range(40):
+        call = host.order("pay")
+        host.advance(50 * MS)
+        host.reply(call, Outcome.OK, spent=50 * MS)
+    host.reply(first, Outcome.TIMEOUT, spent=2 * S)
+    assert 0.0 < host.balancer.endpoints[host.sent[first][0]].failing < EJECT_FAILING
+
+
 def test_attempt_waits_no_longer_than_its_answer_has_worth() -> None:
     """Found on case1319: calls long past their aim filled the cap, at silent endpoints behind sound ones."""
     late = replace(UNSAFE, name="late", late_share=0.5)
