--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -180,7 +180,7 @@
             self.current = None
             self.server.forget(self.request_id)
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        keep = self.keep and (bool(self.waiting) or not self.server.draining)
+        keep = self.keep and (bool(self.waiting) or not self.server.closing)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not keep:
@@ -228,7 +228,8 @@
         self.open_ids: set[bytes] = set()
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
-        self.draining = False
+        self.draining = False  # the front is told to send no new callers
+        self.closing = False  # and connections close as they fall idle
 
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
