--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -18,7 +18,6 @@
 
 CALLERS_SHARE = 0.55  # of the descriptors, for callers; the few that are left are for all else
 ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
-KEEP_S = 0.9  # callers may use connections they hold for so long: what comes by then can be answered
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
 FLUSH_S = 0.1  # for the last bytes to leave
@@ -62,11 +61,13 @@
     """Answer all that was taken, in time for SIGKILL, while callers are sent elsewhere."""
     end = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
     end_us = now_us() + int(end * 1e6)
+    # What comes by then on connections that callers hold can still be served within the shortest aim.
+    keep = max(ACCEPT_S, end - min(c.aim_us for c in host.settings.classes) / 1e6)
     # Danger: in a rolling restart the others may not be back yet, and who is turned away has nowhere to go.
     server.draining = True
     await asyncio.sleep(ACCEPT_S)
     server.listener.close()
-    await asyncio.sleep(KEEP_S - ACCEPT_S)
+    await asyncio.sleep(keep - ACCEPT_S)
     server.closing = True
     while server.callers and now_us() < end_us:
         server.close_idle()
