Leave endpoints alone for a while that turn calls away or can't be reached

An endpoint that drains turns each call away at once, so it holds none and wins nearly each draw against its busy peers; each of these outcomes counted as a latency of the whole aim in the cap's median, and each one cost a new connection (415 opened by that sidecar, where its peers opened 65 to 108).

Ruled out: a crowded fleet (second and third tiers: medians steady, caps never bound); ejection alone (a call that was turned away is no failure there, and unreachable ones are capped by the share of endpoints out).

At fault: Balancer._judge, which learned nothing of the endpoint from FULL, and _pick, which prefers it. Now an endpoint that took nothing rests for 50 ms, doubled up to 2 s for each in a row, drawn with jitter so that copies don't return in step. A new start ends the rest.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -105,6 +105,8 @@
 EJECT_MAX_US = 24_000_000  # up to this
 RETURN_US = 4_000_000  # an ejected endpoint climbs back to its full part in this time
 RETURN_FROM = 0.15  # starting with this part
+REST_US = 50_000  # an endpoint that took a call unseen is left alone so long; doubled for each in a row
+REST_MAX_US = 2_000_000  # up to this
 SLOW_WEIGHT = 0.2  # weight of the newest latency in an endpoint's mean
 SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
 COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
@@ -418,7 +420,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "launched", "order", "owes", "ready", "slow", "used", "weight", "zone",
+        "in_flight", "kind", "launched", "order", "owes", "ready", "rested_at", "rests_until", "slow",
+        "turned", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -428,6 +431,8 @@
         self.failing = 0.0
         self.slow = 0.0  # mean latency over that of the peers; 0 unknown
         self.failed_at = 0
+        self.turned = 0  # calls in a row that it turned away, or that did not reach it
+        self.rested_at = self.rests_until = 0
         self.owes = 0  # since when calls are out to it and none has been answered; 0: none are
         self.credit = -1.0  # sends that it may have while cold; below 0: not begun
         self.credit_at = 0
@@ -444,7 +449,19 @@
             self.launched = entry.launched_us
             self.credit = -1.0
             self.failing = self.slow = 0.0
-            self.ejected_until = self.ejections = 0
+            self.ejected_until = self.ejections = self.turned = self.rests_until = 0
+
+    def rest(self, now: int, sent: int, jitter: float) -> None:
+        """Leave the endpoint alone for a while, as it took nothing: it is full, drains or is gone.
+
+        Danger: who turns calls away at once never has any in flight, so that it looks idle and draws more
+        than its peers, until discovery tells; its refusals, taken for crowding, close the cap for all.
+        """
+        if sent < self.rested_at:  # was on its way when the last rest began
+            return
+        self.turned += 1
+        self.rested_at = now
+        self.rests_until = now + int(min(REST_US * 2.0 ** (self.turned - 1), REST_MAX_US) * jitter)
 
 
 class Subset:
@@ -901,7 +918,7 @@
         drawn = 0
         for _ in range(2 * REDRAWS):
             e = members[int(self.random.random() * n)]
-            if e is best or (tried and any(a[0] is e for a in tried)):
+            if e is best or now < e.rests_until or (tried and any(a[0] is e for a in tried)):
                 continue
             warmth = self._warmth(now, e)
             part = self._part(now, e, warmth) * spare.get(e.id, 1.0)
@@ -1061,6 +1078,10 @@
         if outcome is Outcome.MOOT or outcome is Outcome.CANCELLED:
             return
         ok = outcome is Outcome.OK
+        if outcome in NEVER_RAN:
+            e.rest(now, sent, 0.75 + 0.5 * self.random.random())
+        elif outcome in ANSWERED:
+            e.turned = 0
         share = spent / call.grade.aim_us
         if outcome is not Outcome.FULL:  # a full endpoint is busy, not ill
             failed = 0.0 if ok else 1.0
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -11,7 +11,7 @@
     ConcurrencyLimit,
     TokenBuckets,
 )
-from eiderhub.interface import Goal, Limits, Outcome, Prices
+from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -422,6 +422,32 @@
     assert host.balancer.endpoints[mute].ejected_until > host.now
 
 
+def test_endpoint_that_turns_all_away_is_left_alone_and_does_not_close_the_cap() -> None:
+    """Found on a day of the large fleet: copies that did not hear of a drain sent it two calls in three."""
+    for outcome in (Outcome.FULL, Outcome.CONNECT_FAILED):
+        host = Host(settings(balancers=1, tenants=()), endpoints(3))
+        closed = endpoints(1)[0].id
+        cap = host.balancer.placements[0].local.limit.cap
+        for _ in range(300):
+            call = host.order("pay", tenant="", left=5 * S)
+            while call in host.sent and host.sent[call][-1] == closed:
+                number = len(host.sent[call])
+                host.reply(call, outcome, spent=2 * MS)
+                if len(host.sent[call]) == number:
+                    break
+            host.advance(20 * MS)
+            if call in host.balancer.calls:
+                host.reply(call, Outcome.OK, spent=20 * MS)
+        assert sum(d[2] == closed for d in host.sends()) < 15
+        assert host.balancer.placements[0].local.limit.cap >= cap
+        host.balancer.discovery(host.now, ListForm.FULL, endpoints(3, launched=host.now - 20 * S))
+        sent = len(host.sends())
+        for _ in range(30):
+            call = host.order("pay", tenant="", left=5 * S)
+            host.reply(call, Outcome.OK, spent=20 * MS)
+        assert any(d[2] == closed for d in host.sends()[sent:])  # a new process is taken at once
+
+
 def test_time_out_at_an_endpoint_that_answers_others_is_one_failure_among_them() -> None:
     host = Host(settings(balancers=1), endpoints(1))
     for _ in range(100):
