Let a watch wait half of AskEveryUs, so that one that fell silent is asked again

At fault: WAIT_MS = 30_000 and PATIENCE_S = 2.0 in sidecar/discovery.py. An open watch without an answer looks like one with no news, for 32 s: longer than the release.

--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -154,13 +154,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Rules:
-    """Figures of the cold rule; drains are kept at once, whatever their grace."""
+    """Figures of the cold rule, and of when lists count as told; drains are kept at once."""
 
     cold_us: int = 10_000_000
     cold_from: float = 0.1
     overload_factor: float = 2.0
+    ask_every_us: int = 0  # who has not asked discovery for so long counts as told; 0: not stated
 
     def __post_init__(self) -> None:
+        _require(self.ask_every_us >= 0, "ask_every_us", "must not be negative")
         _require(self.cold_us >= 0, "cold_us", "must not be negative")
         _require(0 < self.cold_from <= 1, "cold_from", "must lie in (0, 1]")
         _require(self.overload_factor > 0, "overload_factor", "must be above 0")
--- a/eiderhub/settings.py
+++ b/eiderhub/settings.py
@@ -140,10 +140,12 @@
             "cold_us": "ColdUs",
             "cold_from": "ColdFrom",
             "overload_factor": "OverloadFactor",
+            "ask_every_us": "AskEveryUs",
         },
         cold_us=_get(figures, "ColdUs", int, "Rules.", 10_000_000),
         cold_from=float(_get(figures, "ColdFrom", number, "Rules.", 0.1)),
         overload_factor=float(_get(figures, "OverloadFactor", number, "Rules.", 2.0)),
+        ask_every_us=_get(figures, "AskEveryUs", int, "Rules.", 0),
     )
     parts = _get(setup, "Goal", dict, "", {})
     weight = {key: float(_get(parts, key, number, "Goal.", 0.0)) for key in BY_WORTH + BY_CLASS}
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -13,8 +13,12 @@
 from eiderhub.sidecar.clock import UNIX_OFFSET_US
 from eiderhub.sidecar.upstream import Connection, Response
 
-WAIT_MS = 30_000  # a watch waits so long: discovery works through its calls in turn, so they should be few
-PATIENCE_S = 2.0  # and may be late by so much: from then on, what it had to tell counts as told
+WAIT_MS = 30_000  # a watch waits so long at most: discovery works through its calls in turn, so few are best
+# Danger: a watch that has fallen silent looks like one that has nothing to tell, until its wait is over. So
+# it waits for half the time after which we would count as told had we not asked, and part of that at random.
+WAIT_SHARE = 0.5
+WAIT_FROM = 0.8  # at least this part: the watches of a fleet that starts at once must not come back in step
+PATIENCE_S = 1.0  # an answer may be late by so much: what it had to tell counts as told a second later
 CONNECT_S = 2.0
 PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
@@ -73,12 +77,14 @@
         port: int,
         generation: int,
         persist: bool,
+        ask_every_us: int,
         deliver: Callable[[ListForm, list[Listed]], None],
     ) -> None:
         self.host = host
         self.port = port
         self.generation = generation
         self.persist = persist  # lists are pushed: nobody asks again, so the watch itself goes on
+        self.wait_ms = min(WAIT_MS, int(WAIT_SHARE * ask_every_us / 1000) or WAIT_MS)
         self.deliver = deliver
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
@@ -125,9 +131,10 @@
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
         self._answer = loop.create_future()
-        path = f"/discovery/hosts?after={self.generation}&wait_ms={WAIT_MS}"
+        wait_ms = int(self.wait_ms * random.uniform(WAIT_FROM, 1.0))
+        path = f"/discovery/hosts?after={self.generation}&wait_ms={wait_ms}"
         self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(WAIT_MS / 1000 + PATIENCE_S):
+        async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S):
             response = await self._answer
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -82,6 +82,7 @@
             config.discovery.port,
             config.known.generation,
             settings.discovery is Discovery.PUSH,
+            settings.rules.ask_every_us,
             self.on_list,
         )
         self.balancer = Balancer(settings, config.seed, self)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,8 +19,8 @@
 
 from eiderhub.interface import ListForm, Outcome, Readiness
 from eiderhub.sidecar import __main__ as program
+from eiderhub.sidecar import discovery, server, upstream
 from eiderhub.sidecar import host as hosting
-from eiderhub.sidecar import server, upstream
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Request
@@ -606,6 +606,23 @@
     run(test())
 
 
+def test_watch_that_falls_silent_is_asked_again_before_its_news_counts_as_told(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Found on days of the large fleet: a third of all copies never heard of a release."""
+    monkeypatch.setattr(discovery, "PATIENCE_S", 0.05)
+
+    async def test() -> None:
+        async with Sidecar(Rules={"AskEveryUs": 200_000}) as sidecar:
+            silent = await sidecar.discovery.next()
+            assert 80 <= int(silent.message.first.split("wait_ms=")[1].split(" ")[0]) <= 100
+            again = await sidecar.discovery.next()
+            assert again.connection != silent.connection
+            assert again.message.first.startswith("GET /discovery/hosts?after=1&")
+
+    run(test())
+
+
 def test_pushed_lists_are_watched_without_the_module_asking() -> None:
     async def test() -> None:
         async with Sidecar(Discovery="push") as sidecar:
