Learn the cap's base only once calls had the time to end

Ruled out: slower endpoints (the same ones serve the neighbours); drift (the base is low from the first state line on); tenants' budgets (refusals are by sojourn).

At fault: ConcurrencyLimit.learn. Of the calls sent since the start, or since a cut, those that end first are the quick ones; a round made of these has a median far below the true one, and the base keeps the least ever seen, so each cut lowers it further. Rounds now begin once a call sent at the start, or at the cut, has had the time that is taken for normal. Warmed-up tests take 4 s instead of 2 to learn a median.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -341,10 +341,15 @@
             self.dither = rng.random()
         return self.in_flight >= (room if self.slack else int(room + self.dither))
 
-    def learn(self, now: int, sent: int, share: float) -> None:
+    def learn(self, now: int, sent: int, share: float, aim_us: int) -> None:
+        self.changed = self.changed or sent
         # Guards against cutting again and again for calls that were sent before the last cut.
         if sent < self.changed:
             return
+        # Danger: of the calls sent since then the quick ones end first. A round of those finds a median far
+        # below the true one; the least ever found stays the base, and all that is usual looks crowded by it.
+        if now - self.changed < self.normal * aim_us:
+            return
         self.round.add(share)
         self.bound = self.bound or self.in_flight >= BINDING * self.cap
         if self.round.total < ROUND_SAMPLES + ROUND_PER_CALL * self.cap:
@@ -1105,7 +1110,8 @@
             if ok or outcome is Outcome.TIMEOUT:
                 self.ratio.record(now, share)
             if ok or outcome is Outcome.TIMEOUT or outcome is Outcome.FULL:
-                pool.limit.learn(now, sent, FULL_COUNTS if outcome is Outcome.FULL else share)
+                counts = FULL_COUNTS if outcome is Outcome.FULL else share
+                pool.limit.learn(now, sent, counts, call.grade.aim_us)
         self.buckets.bill(call.bucket, call.price, call.paid, spent, ok)
 
     def _consider_ejecting(self, now: int, e: EndpointState) -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -79,7 +79,7 @@
         start = limit.cap
         for i in range(400):
             late = i > 100 and i % 10 < slow_in_ten
-            limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.9 if late else 0.1)
+            limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.9 if late else 0.1, S)
         assert (limit.cap < start) is falls
         assert limit.cap >= limit.floor
 
@@ -89,14 +89,27 @@
     limit = ConcurrencyLimit(0)
     limit.size(4.0)
     for _ in range(100):
-        limit.learn(10 * S, 9 * S, 0.9)
+        limit.learn(10 * S, 9 * S, 0.9, S)
     once = limit.cap
     assert limit.floor < once < 6.0 * 4.0
     for _ in range(100):
-        limit.learn(11 * S, 9 * S, 0.9)
+        limit.learn(11 * S, 9 * S, 0.9, S)
     assert limit.cap == once
 
 
+def test_base_is_not_taken_from_the_calls_that_end_first() -> None:
+    """Found on a day of the large fleet: one copy learned half the others' base, and refused all day."""
+    latencies = [100 * MS + i * 37 % 400 * MS for i in range(300)]
+    ends = sorted((i * 10 * MS + latency, i * 10 * MS, latency) for i, latency in enumerate(latencies))
+    limit = ConcurrencyLimit(0)
+    limit.size(1.0)
+    for since in (10 * S, 20 * S):
+        for ended, sent, latency in ends:
+            limit.learn(since + ended, since + sent, latency / S, S)
+        assert 0.25 < limit.base < 0.35
+        limit.changed = 20 * S  # as by a cut
+
+
 def test_slow_answers_do_not_shrink_a_stated_quota() -> None:
     """Found on simulated days: latency was billed but not granted, so slow days cut tenants short."""
     buckets = TokenBuckets(settings(balancers=1), 0, 0)
@@ -180,7 +193,7 @@
 
 def warmed(grade: str, layer: int = 0) -> Host:
     host = Host(settings(balancers=1, tiers=2, layer=layer), endpoints(8))
-    for _ in range(100):
+    for _ in range(200):
         call = host.order(grade)
         host.advance(20 * MS)
         host.reply(call, Outcome.OK, spent=20 * MS)
@@ -236,7 +249,7 @@
         limit = ConcurrencyLimit(layer)
         limit.size(0.2)
         for i in range(60):
-            limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.05 if i < 30 else share)
+            limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.05 if i < 30 else share, S)
         assert more <= limit.room(scarcity) - limit.cap < more + 1.2
 
 
@@ -386,7 +399,7 @@
     limit.size(2.0)
     for i in range(40_000):
         limit.in_flight = int(limit.cap)  # there is always more to send
-        limit.learn(i * S, i * S, 0.2 * max(1.0, limit.cap / 15.0))  # past 15 calls, latency is all queueing
+        limit.learn(i * S, i * S, 0.2 * max(1.0, limit.cap / 15.0), S)  # past 15 calls, all is queueing
     assert 15.0 < limit.cap < 30.0
 
 
