Send cold endpoints what the rule lets them have, judged by the calls they hold

Evidence: calls served, mean latency and failures of each first-tier endpoint by second, over all sidecars. New endpoints at a warmth of 0.3 to 0.5 get 2 to 5 calls a second and answer them in the usual 0.5 s; the five old ones get 17 to 36, take 0.7 to 1.4 s and tip over.

Ruled out: the second and third tier (medians steady, nothing refused); the fall rule (no endpoint fell).

At fault: Balancer._pick thinned the draws of a cold endpoint by its least capacity and compared its load divided by that once more. A copy of a large fleet has two or three calls at an endpoint, so a cold one at a third counted as busier while idle. It is drawn by its budget under rule 4 now and compared by what it holds, as any other. COLD_USE, the share of that budget which all copies use, goes from 0.5 to 0.8: the budget is a multiple of the usual rate, which is well below capacity, and at half of it the new ones stood idle.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -109,7 +109,7 @@
 REST_MAX_US = 2_000_000  # up to this
 SLOW_WEIGHT = 0.2  # weight of the newest latency in an endpoint's mean
 SLOW_RANGE = 4.0  # an endpoint counts as at most this many times slower or faster than its peers
-COLD_USE = 0.5  # of the multiple that a cold endpoint bears, the share that all copies together use
+COLD_USE = 0.8  # of the multiple that a cold endpoint bears, the share that all copies together use
 RATE_RISE, RATE_FALL = 0.2, 0.01  # weight of the newest window in a pool's rate
 OUTLIER = 2.0  # endpoints slower than their peers by this are left out of the ratio and the cap
 
@@ -926,7 +926,7 @@
             if e is best or now < e.rests_until or (tried and any(a[0] is e for a in tried)):
                 continue
             warmth = self._warmth(now, e)
-            part = self._part(now, e, warmth) * spare.get(e.id, 1.0)
+            part = self._part(now, e, self._budget(warmth)) * spare.get(e.id, 1.0)
             if part < 1.0 and self.random.random() >= part:
                 continue
             if warmth < 1.0 and not self._affords(now, e, pool, warmth):
@@ -940,7 +940,8 @@
                 (e.zone, e.cell),
             ):
                 continue
-            load = (e.in_flight + 1) / (e.weight * part)
+            # Not by the part, too: who has few calls out would send a cold endpoint none until it is warm.
+            load = (e.in_flight + 1) / e.weight
             # Danger: what a mute endpoint holds is soon no more than what its busy peers do, call after call.
             if self._mute(now, e, pool, call):
                 load *= MUTE_RISE
@@ -961,8 +962,8 @@
     def _part(self, now: int, e: EndpointState, warmth: float) -> float:
         """The part of a warm peer's calls that this endpoint may have: slow start, ejection and return.
 
-        Rule 4: a draw that falls on a cold endpoint stands only with the probability of its least capacity,
-        so each copy sends it that part of what its warm endpoints get, and so do all copies together.
+        Rule 4: a draw that falls on a cold endpoint stands only with the probability of its budget, so each
+        copy sends it that part of what its warm endpoints get, and so do all copies together.
         """
         part = warmth
         if e.ejected_until:
@@ -981,6 +982,13 @@
             return 1.0
         return rules.cold_from + (1 - rules.cold_from) * max(age, 0) / rules.cold_us
 
+    def _budget(self, warmth: float) -> float:
+        """The part of a warm peer's calls that a cold endpoint may have by rule 4.
+
+        What it can do in truth is at least its warmth, and shows as for any other: in the calls it holds.
+        """
+        return min(1.0, COLD_USE * self.settings.rules.overload_factor * warmth) if warmth < 1.0 else 1.0
+
     def _affords(self, now: int, e: EndpointState, pool: Pool, warmth: float) -> bool:
         """Whether a cold endpoint has credit left: it earns a part of what those of its pool usually got.
 
@@ -992,7 +1000,7 @@
         if e.credit < 0:
             e.credit = self.random.random()  # all copies hear of the start at once
         else:
-            earned = usual * min(1.0, COLD_USE * self.settings.rules.overload_factor * warmth)
+            earned = usual * self._budget(warmth)
             e.credit = min(1.0, e.credit + earned * (now - e.credit_at) / 1e6)
         e.credit_at = now
         return e.credit >= 1.0
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -5,13 +5,14 @@
 from dataclasses import replace
 
 from eiderhub.balancer import (
+    COLD_USE,
     EJECT_FAILING,
     SOJOURN_INTERVAL_US,
     START_CALLS,
     ConcurrencyLimit,
     TokenBuckets,
 )
-from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices
+from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices, Rules
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -500,6 +501,23 @@
     assert START_CALLS <= len(host.sends()) - len(near) <= START_CALLS + 2
 
 
+def test_cold_endpoint_gets_what_the_rule_lets_it_have() -> None:
+    """Found on days of the large fleet: cold endpoints had hardly a call while warm ones tipped over."""
+    rules = Rules(cold_us=1000 * S, cold_from=0.4, overload_factor=1.0)
+    host = Host(settings(balancers=1, tenants=(), rules=rules), endpoints(2))
+    cold = endpoints(1, start=2, launched=host.now)
+    host.balancer.discovery(host.now, ListForm.DELTA, cold)
+    out: list[str] = []
+    for _ in range(2000):
+        host.advance(20 * MS)
+        out.append(host.order(tenant="", left=3 * S))
+        if len(out) > 2:  # few calls out, as a copy of a large fleet has
+            host.reply(out.pop(0), Outcome.OK, spent=100 * MS)
+    share = sum(d[2] == cold[0].id for d in host.sends()) / len(host.sends())
+    budget = COLD_USE * rules.cold_from  # of an even part
+    assert 0.6 * budget / 3 < share < 1.05 * budget / 3
+
+
 def test_state_line_tells_why_calls_were_given_up() -> None:
     """Nothing in the logs of the recorded days told a refusal by the queue from one by an endpoint."""
     host = Host(entries=endpoints(4))
