Take ejected endpoints back by single trial calls, and see sooner that one is mute

Evidence: each of the seven sidecars ejects them for some 3 s and then sends them calls again by the clock, a growing part, before the first of those has timed out; with seven clocks there is always one that does. An endpoint that has tipped over gets no rest in which to recover. Before the first ejection a sidecar loses all calls it sends in 1.5 to 2 s: an endpoint counted as mute after ten usual latencies, which at this tier is 2.5 times the aim and so never comes.

Ruled out: endpoints that can't recover (one that was left alone served 13 to 20 a second again); too few ejections allowed (three of a possible five were out).

At fault: Balancer._part, which ramps an ejected endpoint up by time alone, and _mute. An ejected endpoint now has one call at a time until it has served one, the way back begins there, and a failed trial ejects it again at once. One that holds three calls and has answered none for three uncrowded medians is mute, too.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -97,6 +97,8 @@
 REDRAWS = 4  # tries to draw an endpoint that may take the call
 HEALTH_WEIGHT = 0.3  # weight of the newest outcome in an endpoint's failure share
 MUTE_RISE = 10.0  # an endpoint that has answered nothing for so many usual (median) latencies is mute
+MUTE_CALLS = 3  # so is one that holds so many calls and has answered nothing for
+MUTE_RISE_BUSY = 3.0  # so many uncrowded ones: where a median takes much of the aim the first never comes
 FLEET_WEIGHT = 0.02  # and in the failure share of all
 EJECT_FAILING = 0.45  # failure share at which an endpoint is ejected: two failures in a row pass it
 EJECT_VERSUS_PEERS = 0.5  # and this share of all endpoints' failure share more: shared trouble ejects nobody
@@ -425,8 +427,8 @@
 
     __slots__ = (
         "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
-        "in_flight", "kind", "launched", "order", "owes", "ready", "rested_at", "rests_until", "slow",
-        "turned", "used", "weight", "zone",
+        "in_flight", "kind", "launched", "on_trial", "order", "owes", "ready", "rested_at", "rests_until",
+        "slow", "turned", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -444,6 +446,7 @@
         self.used = 0  # when a connection to it was last in use; 0: never
         self.ejected_until = 0
         self.ejections = 0
+        self.on_trial = False  # ejected, and has served no call since
         self.launched = 0
         self.take(entry)
 
@@ -455,6 +458,7 @@
             self.credit = -1.0
             self.failing = self.slow = 0.0
             self.ejected_until = self.ejections = self.turned = self.rests_until = 0
+            self.on_trial = False
 
     def rest(self, now: int, sent: int, jitter: float) -> None:
         """Leave the endpoint alone for a while, as it took nothing: it is full, drains or is gone.
@@ -956,8 +960,11 @@
 
     def _mute(self, now: int, e: EndpointState, pool: Pool, call: Call) -> bool:
         """Whether calls are out to the endpoint and it has answered none for far longer than is usual."""
-        usual = pool.limit.median * call.grade.aim_us
-        return e.owes > 0 and now - e.owes > MUTE_RISE * usual > 0
+        if not e.owes:
+            return False
+        owing, aim = now - e.owes, call.grade.aim_us
+        busy = e.in_flight >= MUTE_CALLS and owing > MUTE_RISE_BUSY * pool.limit.base * aim > 0
+        return busy or owing > MUTE_RISE * pool.limit.median * aim > 0
 
     def _part(self, now: int, e: EndpointState, warmth: float) -> float:
         """The part of a warm peer's calls that this endpoint may have: slow start, ejection and return.
@@ -967,7 +974,9 @@
         """
         part = warmth
         if e.ejected_until:
-            if now < e.ejected_until:
+            # Danger: an endpoint that has tipped over must be left alone to recover. If all copies take it
+            # back by the clock, each loses all it sends there until its first time-out, and it stays down.
+            if now < e.ejected_until or (e.on_trial and e.in_flight):
                 return 0.0
             since = now - e.ejected_until
             if since < RETURN_US:
@@ -1091,6 +1100,9 @@
         if outcome is Outcome.MOOT or outcome is Outcome.CANCELLED:
             return
         ok = outcome is Outcome.OK
+        if ok and e.on_trial and now >= e.ejected_until:
+            e.on_trial = False
+            e.ejected_until = now  # the way back begins here
         if outcome in NEVER_RAN:
             e.rest(now, sent, 0.75 + 0.5 * self.random.random())
         elif outcome in ANSWERED:
@@ -1103,7 +1115,8 @@
             # Danger: what is not counted must not count as the last failure either. At a silent endpoint each
             # call that ends began before the one before it ended, and none but the first would ever count.
             if ok or sent >= e.failed_at:
-                e.failing += (1.0 if mute else HEALTH_WEIGHT) * (failed - e.failing)
+                sure = mute or (failed and e.on_trial)
+                e.failing += (1.0 if sure else HEALTH_WEIGHT) * (failed - e.failing)
                 if failed:
                     e.failed_at = now
                     self._consider_ejecting(now, e)
@@ -1134,6 +1147,7 @@
         wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
         e.failing = 0.0
+        e.on_trial = True
         self.actions.write_log(f"endpoint {e.id} ejected for {(e.ejected_until - now) / 1e6:.1f} s: it fails")
 
     def _again(self, now: int, call: Call, outcome: Outcome) -> None:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -518,6 +518,34 @@
     assert 0.6 * budget / 3 < share < 1.05 * budget / 3
 
 
+def test_endpoint_that_tipped_over_is_avoided_and_comes_back_by_trial() -> None:
+    """Found on a day of the large fleet: endpoints that had tipped over got 30 calls a second for good."""
+    host = Host(settings(balancers=1, tenants=()), endpoints(3))
+    tipped = endpoints(1)[0].id
+    out: list[tuple[int, str]] = []
+
+    def second(down: bool) -> list[str]:
+        """One second of 50 calls of 0.4 of the aim each; returns where they went."""
+        before = len(host.sends())
+        for _ in range(50):
+            host.advance(20 * MS)
+            out.append((host.now, host.order("pay", tenant="", left=5 * S)))
+            for at, call in list(out):
+                ill = down and host.sent.get(call, [""])[-1] == tipped
+                if host.now - at >= (2000 if ill else 800) * MS:
+                    out.remove((at, call))
+                    if call in host.balancer.calls and call in host.sent:
+                        host.reply(call, Outcome.TIMEOUT if ill else Outcome.OK, spent=host.now - at)
+        return [d[2] for d in host.sends()[before:]]
+
+    for _ in range(5):
+        assert tipped in second(down=False)
+    for _ in range(5):
+        second(down=True)
+    assert sum(second(down=True).count(tipped) for _ in range(15)) <= 4  # single trials
+    assert sum(second(down=False).count(tipped) for _ in range(30)) > 30  # back once it serves
+
+
 def test_state_line_tells_why_calls_were_given_up() -> None:
     """Nothing in the logs of the recorded days told a refusal by the queue from one by an endpoint."""
     host = Host(entries=endpoints(4))
