Scale the caps with the capacity left near and far, cold endpoints by their warmth

Evidence: state lines. A copy's near cap stays at 15 to 20 while its near endpoints go from three to one or are all cold, and those that are left take 28 to 36 calls a second where they had 17, until they tip over at second 12. In the zone that returns cold the near cap is 8.6 and useless, the far one 2 to 3.

Ruled out: moving what the near cap lost to the far one: refusals turn into time-outs at the others.

At fault: ConcurrencyLimit.size kept a cap whatever became of the endpoints it was learned on, and Balancer._fill_pools counted cold endpoints as whole and, for each of a zone's copies, all of them as its own. Parts are now counted by warmth and by the copies a zone has, anew each window while something is cold, and a cap changes in proportion to its part.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -305,6 +305,7 @@
 
     def __init__(self, layer: int) -> None:
         self.cap = 0.0  # set when the first list comes
+        self.part = 0.0  # of the endpoints' capacity that it holds for
         self.floor = MIN_CAP
         self.in_flight = 0
         self.dither = 0.0
@@ -320,9 +321,13 @@
         self.changed = 0
 
     def size(self, fair: float) -> None:
-        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies."""
+        """`fair` is this copy's part of the endpoints: shares of it bound the sum over all copies.
+
+        Danger: what was learned with three endpoints pushes over the one that is left of them.
+        """
         self.floor = max(MIN_CAP, FLOOR_CALLS * fair)
-        self.cap = max(self.cap or START_CALLS * fair, self.floor)
+        self.cap = max(self.cap * fair / self.part if self.part else START_CALLS * fair, self.floor)
+        self.part = fair
 
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
@@ -667,6 +672,7 @@
         self.placements = list(placements.values())
         self.ejected: list[EndpointState] = []
         self.ready = 0
+        self.warming = False  # whether an endpoint is cold, so that the copy's parts of the capacity change
         self.fleet_failing = 0.0
         self.scarcity = 0.0  # share of late arrivals within their share that found no room at once
         self.fleet_latency = 0.0
@@ -700,14 +706,15 @@
                 self.endpoints[entry.id] = EndpointState(entry)
             else:
                 state.take(entry)
-        self._fill_pools()
+        self._fill_pools(now_us)
         if self.queue.count:
             self._dispatch(now_us)
 
-    def _fill_pools(self) -> None:
+    def _fill_pools(self, now: int) -> None:
         s = self.settings
         ready = [e for e in self.endpoints.values() if e.ready]
         self.ready = len(ready)
+        self.warming = any(self._warmth(now, e) < 1.0 for e in ready)
         for placement in self.placements:
             allowed = [e for e in ready if placement.allows(e)]
             near = [e for e in allowed if e.zone == s.zone]
@@ -715,9 +722,12 @@
             placement.size = len(allowed)
             # Copies are spread over the zones about as endpoints are; other zones have their own to carry.
             # Danger: few copies leave zones without one, whose endpoints would sit idle while copies that
-            # take what is near for all their fair part crowd it and refuse.
-            fair = len(allowed) / s.balancers
-            own = min(fair, len(near))
+            # take what is near for all their fair part crowd it and refuse. So do copies of a zone that has
+            # lost endpoints or has them back cold, each of which would count on what is left for itself.
+            fair = sum(self._warmth(now, e) for e in allowed) / s.balancers
+            own = sum(self._warmth(now, e) for e in near)
+            zones = len({e.zone for e in self.endpoints.values()})
+            own = own * zones / s.balancers if zones < s.balancers else min(fair, own)
             for pool, members, part in (
                 (placement.local, near, own),
                 (placement.remote, far, max(fair - own, REMOTE_PART * fair)),
@@ -726,7 +736,7 @@
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
                 pool.subset.fill(members, s.rank, s.balancers, size)
 
-    def _share_out(self) -> None:
+    def _share_out(self, now: int) -> None:
         """Note what was sent, and leave to a bound class the endpoints that it fills.
 
         Danger: classes free to go anywhere crowd the few endpoints of a bound class while others have room.
@@ -734,6 +744,8 @@
         for placement in self.placements:
             for pool in placement.pools:
                 pool.turn()
+        if self.warming:
+            self._fill_pools(now)
         if len(self.placements) < 2:
             return
         level = sum(p.sent for p in self.placements) / max(1, *(p.size for p in self.placements))
@@ -766,7 +778,7 @@
         buckets = self.buckets
         if now_us >= buckets.next_refill:
             buckets.refill(now_us)
-            self._share_out()
+            self._share_out(now_us)
             if now_us >= self.next_state:
                 self._log_state(now_us)
         bucket = buckets.find(tenant or "")
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from eiderhub.balancer import (
     COLD_USE,
     EJECT_FAILING,
@@ -12,7 +14,7 @@
     ConcurrencyLimit,
     TokenBuckets,
 )
-from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices, Rules
+from eiderhub.interface import Goal, Limits, ListForm, Outcome, Prices, Readiness, Rules
 from tests.support import MS, SAFE, UNSAFE, Host, S, endpoints, settings
 
 
@@ -546,6 +548,27 @@
     assert sum(second(down=False).count(tipped) for _ in range(30)) > 30  # back once it serves
 
 
+def test_caps_follow_the_capacity_that_is_left_near_and_far() -> None:
+    """Found on days of the large fleet: copies pushed over the one endpoint left near, or refused beside idle
+    far ones when their zone came back cold."""
+    far = endpoints(6, zone="west", start=6)
+    host = Host(settings(balancers=6, tenants=()), endpoints(6) + far)
+    near_limit, far_limit = (pool.limit for pool in host.balancer.placements[0].pools)
+    near_limit.cap, far_limit.cap = 30.0, 6.0
+    gone = [e._replace(readiness=Readiness.DRAINING) for e in endpoints(4)]
+    host.balancer.discovery(host.now, ListForm.DELTA, gone)
+    assert near_limit.cap == pytest.approx(10.0)
+    assert far_limit.cap > 6.0
+    host.balancer.discovery(host.now, ListForm.DELTA, endpoints(4, launched=host.now))
+    assert 10.0 < near_limit.cap < 16.0  # a fifth of four: the least that cold ones can do
+    for _ in range(25):
+        host.advance(500 * MS)
+        host.answer_all()
+        host.order("pay", tenant="")
+    assert near_limit.cap == pytest.approx(30.0)
+    assert far_limit.cap == pytest.approx(6.0)
+
+
 def test_state_line_tells_why_calls_were_given_up() -> None:
     """Nothing in the logs of the recorded days told a refusal by the queue from one by an endpoint."""
     host = Host(entries=endpoints(4))
