Space an ejected endpoint's trials evenly instead of doubling its ejection each time

A first-tier sidecar's one near endpoint hangs at second 47 and is ejected for 3 s; its one trial call fails at second 51.9, perhaps only of a tier behind, and the ejection doubles to 7.3 s. All of the sidecar's calls go far meanwhile, and the other sidecar's endpoints go from a median of 0.29 to 0.43.

At fault: Balancer._consider_ejecting, which doubled the wait for a failed trial as for a failing endpoint. A trial costs one call of one copy, so the next one comes after the same wait.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1155,7 +1155,8 @@
         if len(self.ejected) + 1 > MAX_EJECTED * self.ready:
             return
         self.ejected.append(e)
-        e.ejections += 1
+        # A failed trial may be chance, and costs one call: the next one need not wait for longer.
+        e.ejections += not e.on_trial
         wait = min(EJECT_US * 2 ** (e.ejections - 1), EJECT_MAX_US)
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
         e.failing = 0.0
