Drain by one state machine and answer operators' calls with true figures

A request turned away for want of descriptors is checked for its form first, so that peers without a proper request count nowhere.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -766,6 +766,14 @@
             self.sweep_at = -1
             self._sweep(now_us)
 
+    def hosts_down(self, now_us: int) -> list[str]:
+        """The endpoints that get no new calls now, or single trials: they drain, rest or are ejected."""
+        return [
+            e.id
+            for e in self.endpoints.values()
+            if not e.ready or e.on_trial or now_us < max(e.rests_until, e.ejected_until)
+        ]
+
     # --- requests ---
 
     def order(
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -14,13 +14,14 @@
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
 from eiderhub.sidecar.host import Host
+from eiderhub.sidecar.lifecycle import FLUSH_S, Lifecycle
+from eiderhub.sidecar.management import MOST, OWN_DESCRIPTORS, Management
 from eiderhub.sidecar.server import Server
 
-CALLERS_SHARE = 0.55  # of the descriptors, for callers; the few that are left are for all else
-ACCEPT_S = 0.6  # new connections are taken for so long after SIGTERM: the front sends some for up to 0.4 s
+CALLERS_SHARE = 0.55  # of the descriptors, for callers
+UPSTREAM_SHARE = 0.4  # and for connections to endpoints; the few that are left are for all else
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
-FLUSH_S = 0.1  # for the last bytes to leave
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -57,23 +58,14 @@
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
-async def drain(server: Server, host: Host) -> None:
+async def drain(lifecycle: Lifecycle, server: Server, host: Host) -> None:
     """Answer all that was taken, in time for SIGKILL, while callers are sent elsewhere."""
-    end = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
-    end_us = now_us() + int(end * 1e6)
+    end_s = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
     # What comes by then on connections that callers hold can still be served within the shortest aim.
-    keep = max(ACCEPT_S, end - min(c.aim_us for c in host.settings.classes) / 1e6)
-    # Danger: in a rolling restart the others may not be back yet, and who is turned away has nowhere to go.
-    server.draining = True
-    await asyncio.sleep(ACCEPT_S)
-    server.listener.close()
-    await asyncio.sleep(keep - ACCEPT_S)
-    server.closing = True
-    while server.callers and now_us() < end_us:
-        server.close_idle()
-        await asyncio.sleep(0.01)
+    keep_s = end_s - min(c.aim_us for c in host.settings.classes) / 1e6
+    await lifecycle.stop(keep_s, end_s)
     host.fail_all()
-    server.close_idle()
+    server.close_idle(0.0)
     await asyncio.sleep(FLUSH_S)
 
 
@@ -93,10 +85,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    host = Host(config)
+    spare = MOST + OWN_DESCRIPTORS if config.management else 0
+    sockets = max(1, config.sockets - spare)
+    host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)))
     loop.add_signal_handler(signal.SIGHUP, reload, host)
-    server = Server(host, max(1, int(CALLERS_SHARE * config.sockets)))
+    server = Server(host, max(1, int(CALLERS_SHARE * sockets)))
     await server.bind(config.listen.host, config.listen.port)
+    if config.management:
+        management = Management(server.lifecycle, host.figure_lines)
+        await management.bind(config.management.host, config.management.port)
     host.start()
     chores = (host.upstream.sweep(), host.upstream.report(), server.watch_callers(), watch_lag())
     background = [loop.create_task(chore) for chore in chores]
@@ -107,7 +104,7 @@
     await server.listener.start_serving()
     log.info("%s serves on %s:%d", config.name, config.listen.host, config.listen.port)
     await stop.wait()
-    await drain(server, host)
+    await drain(server.lifecycle, server, host)
     for task in background:
         task.cancel()
 
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -34,6 +34,7 @@
     sockets: int
     known: Listing
     settings: Settings
+    management: Address | None = None  # where operators call
 
 
 def parse_address(text: object, key: str) -> Address:
@@ -85,6 +86,7 @@
         known = read_listing(document.get("known"))
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
+    management = environ.get("GW_MANAGEMENT") or document.get("management")
     return Config(
         name=environ.get("GW_NAME") or str(document.get("name", "")),
         listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
@@ -93,4 +95,5 @@
         sockets=sockets,
         known=known,
         settings=settings,
+        management=parse_address(management, "GW_MANAGEMENT") if management else None,
     )
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -145,6 +145,9 @@
             self._connection.close()
             self._connection = None
 
+    def on_written(self, connection: Connection) -> None:
+        pass  # a call to discovery is no attempt
+
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(response)
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -17,10 +17,10 @@
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
+from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
-UPSTREAM_SHARE = 0.4  # of the descriptors, for connections to endpoints
 log = logging.getLogger(__name__)
 
 
@@ -35,7 +35,7 @@
 
     __slots__ = (
         "alarm", "answered", "attempts", "body", "call", "caller", "deadline_us", "due_us", "grade", "head",
-        "hint_us", "out", "tenant",
+        "hint_us", "id", "out", "tenant",
     )  # fmt: skip
 
     def __init__(
@@ -47,8 +47,10 @@
         deadline_us: int,
         head: bytes,
         body: bytes,
+        request_id: bytes = b"",
     ) -> None:
         self.caller = caller
+        self.id = request_id  # the client's
         self.grade = grade
         self.tenant = tenant
         self.hint_us = hint_us
@@ -66,16 +68,19 @@
 class Host:
     """Implements the module's `Actions` and feeds its `Events`."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, most: int) -> None:
         settings = config.settings
         self.settings = settings
+        self.figures = Figures(c.name for c in settings.classes)
         self.requests: dict[str, Request] = {}
         self.serial = 0
-        self.listed = False  # whether any list has named endpoints
+        self.listed: set[str] = set()  # the endpoints that the list has now
+        self.ready = False  # whether any list has named endpoints
         self.upstream = Upstream(
             settings.limits.conn_idle_us,
             settings.limits.connect_timeout_us,
-            max(1, int(UPSTREAM_SHARE * config.sockets)),
+            most,
+            self.figures,
         )
         self.watcher = Watcher(
             config.discovery.host,
@@ -95,9 +100,9 @@
         if self.settings.discovery is Discovery.PUSH:
             self.watcher.turn(True)
 
-    @property
-    def ready(self) -> bool:
-        return self.listed
+    def figure_lines(self) -> list[str]:
+        down = self.listed.intersection(self.balancer.hosts_down(now_us()))
+        return self.figures.lines(len(self.listed), len(down))
 
     def _tell(self, event: Callable[..., None], *values: Any) -> bool:
         """Tell the module; its failure must neither end the process nor lose what it holds."""
@@ -253,6 +258,7 @@
     def on_list(self, form: ListForm, entries: list[Listed]) -> None:
         """Rule 3: the pools learn first, so that nothing new leaves for what drains or is gone."""
         if form in (ListForm.FULL, ListForm.CACHED):
+            self.listed.clear()
             for missing in self.upstream.pools.keys() - {entry.endpoint.id for entry in entries}:
                 self.upstream.retire(missing)
         for endpoint, host, port in entries:
@@ -260,5 +266,9 @@
                 self.upstream.place(endpoint.id, host, port, endpoint.launched_us)
             else:
                 self.upstream.retire(endpoint.id)
-        self.listed = self.listed or bool(entries)
+            if endpoint.readiness is Readiness.GONE:
+                self.listed.discard(endpoint.id)
+            else:
+                self.listed.add(endpoint.id)
+        self.ready = self.ready or bool(self.listed)
         self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -12,6 +12,7 @@
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
+from eiderhub.sidecar.lifecycle import Lifecycle
 from eiderhub.sidecar.upstream import HOP_BY_HOP
 
 MAX_BODY = 64 * 1024
@@ -53,7 +54,6 @@
     def __init__(self, server: Server) -> None:
         self.server = server
         self.current: Request | None = None
-        self.request_id = b""
         self.waiting: list[Incoming] = []  # came before the answer to the one before
         self.keep = True
         self.receiving = False
@@ -67,7 +67,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
-        self.due_us = now_us() + int(READ_S * 1e6)
+        self.quiet_since_us = now_us()
+        self.due_us = self.quiet_since_us + int(READ_S * 1e6)
         self.server.joined(self)
 
     def data_received(self, data: bytes) -> None:
@@ -95,7 +96,8 @@
         self.server.left(self)
         current, self.current = self.current, None
         if current is not None:
-            self.server.forget(self.request_id)
+            self.server.forget(current.id)
+            self.server.host.figures.inflight -= 1
             self.server.host.gone(current)
 
     # --- the parser's calls ---
@@ -172,13 +174,18 @@
             return
         if request is not None:
             self.current = request
+            self.server.open_ids.add(request.id)
+            self.server.host.figures.inflight += 1
             self.server.host.take(request)
 
     def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """Write an answer; the connection closes after it where the caller, the input or our end asks so."""
         if self.current is not None:
+            self.server.host.figures.inflight -= 1
+            self.server.host.figures.ended(self.current.grade, status)
+            self.server.forget(self.current.id)
             self.current = None
-            self.server.forget(self.request_id)
+        self.quiet_since_us = now_us()
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
         keep = self.keep and (bool(self.waiting) or not self.server.closing)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status]), b"Content-Length: %d" % len(body)]
@@ -228,8 +235,8 @@
         self.open_ids: set[bytes] = set()
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
-        self.draining = False  # the front is told to send no new callers
-        self.closing = False  # and connections close as they fall idle
+        self.closing = False  # each answer is the last of its connection
+        self.lifecycle = Lifecycle(self, lambda: host.ready)
 
     async def bind(self, host: str, port: int) -> None:
         """Take the address; connections wait until the module has started."""
@@ -265,11 +272,18 @@
                 else:
                     caller.transport.close()
 
-    def close_idle(self) -> None:
+    def close_idle(self, quiet_s: float) -> None:
+        before = now_us() - int(quiet_s * 1e6)
         for caller in list(self.callers):
-            if not caller.busy:
+            if not caller.busy and caller.quiet_since_us <= before:
                 caller.transport.close()
 
+    def stop_listening(self) -> None:
+        self.listener.close()
+
+    def any_left(self) -> bool:
+        return bool(self.callers)
+
     # --- reading a request ---
 
     def admit(self, caller: CallerConnection, incoming: Incoming) -> Request | None:
@@ -283,16 +297,18 @@
         grade = self.classes.get(path[1:].partition(b"/")[0]) if path[:1] == b"/" else None
         if grade is None:
             raise Rejected(404, "no such class")
+        request = self._request(caller, incoming, grade)
         if len(self.callers) > self.most:
             caller.keep = False
+            self.host.figures.ended(grade.name, 503)
             caller.answer(503, [(b"Retry-After", BUSY_WAIT)], b"")  # harmless: it was sent nowhere
             return None
-        return self._request(caller, incoming, grade)
+        return request
 
     def _up(self, caller: CallerConnection, incoming: Incoming) -> None:
         if incoming.method != b"GET":
             raise Rejected(405, "GET only")
-        caller.answer(200 if self.host.ready and not self.draining else 503, [], b"")
+        caller.answer(200 if self.lifecycle.takes_clients else 503, [], b"")
 
     def _request(self, caller: CallerConnection, incoming: Incoming, grade: RequestClass) -> Request:
         fields: dict[bytes, bytes] = {}
@@ -320,8 +336,6 @@
         if request_id in self.open_ids:
             # Two answers would be owed under one id, and endpoints could not tell its attempts apart.
             raise Rejected(409, "req-id: this request is open")
-        self.open_ids.add(request_id)
-        caller.request_id = request_id
         if incoming.body or grade.effect is not Effect.IDEMPOTENT:
             lines.append(b"Content-Length: %d\r\n" % len(incoming.body))
         return Request(
@@ -332,6 +346,7 @@
             incoming.arrived_us + deadline_ms * 1000,
             b"".join(lines),
             incoming.body,
+            request_id,
         )
 
     def _tenant(self, fields: dict[bytes, bytes]) -> str | None:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -16,6 +16,7 @@
 
 from eiderhub.interface import Outcome
 from eiderhub.sidecar.clock import Alarm, now_us
+from eiderhub.sidecar.figures import Figures
 
 IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
 IDLE_US = 5_000_000  # that time, where it is not told
@@ -46,6 +47,8 @@
 
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None: ...
 
+    def on_written(self, connection: Connection) -> None: ...
+
     def on_lost(self, connection: Connection) -> None: ...
 
 
@@ -90,13 +93,16 @@
     def send(self, data: bytes) -> None:
         self.busy = self.written = True
         self.exchanges += 1
-        self.transport.write(data)
+        self.transport.write(data)  # calls `pause_writing` within, where the kernel does not take all
+        if self.written:
+            self.owner.on_written(self)
 
     def pause_writing(self) -> None:
         self.written = False
 
     def resume_writing(self) -> None:
         self.written = True
+        self.owner.on_written(self)
 
     def close(self) -> None:
         """Give up the exchange: whatever still comes on this connection reaches nobody."""
@@ -231,6 +237,9 @@
 
     # --- what its connections tell ---
 
+    def on_written(self, connection: Connection) -> None:
+        self.upstream.figures.backend_calls += 1
+
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
         attempt, connection.attempt = connection.attempt, None
         if reusable:
@@ -275,10 +284,11 @@
 class Upstream:
     """All pools, and the bound on their connections together."""
 
-    def __init__(self, idle_us: int, connect_timeout_us: int, most: int) -> None:
+    def __init__(self, idle_us: int, connect_timeout_us: int, most: int, figures: Figures) -> None:
         self.keep_us = int(IDLE_SHARE * (idle_us or IDLE_US))
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.most = most
+        self.figures = figures
         self.open = 0  # connections that are up or coming up
         self.pools: dict[str, Pool] = {}
         self._connecting: set[asyncio.Task[None]] = set()
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from eiderhub.settings import settings_from
+from eiderhub.sidecar.__main__ import UPSTREAM_SHARE
 from eiderhub.sidecar.config import Address, Config
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
@@ -216,7 +217,7 @@
             known=read_listing(json.loads(listing(1, True, *rows))),
             settings=settings_from(self.setup),
         )
-        self.host = Host(self.config)
+        self.host = Host(self.config, max(1, int(UPSTREAM_SHARE * self.sockets)))
         self.sweep = asyncio.create_task(self.host.upstream.sweep())
         self.server = Server(self.host, self.callers)
         await self.server.bind("127.0.0.1", 0)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -23,6 +23,7 @@
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.discovery import read_listing
+from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.host import Request
 from eiderhub.sidecar.upstream import Attempt, Response, Upstream
 from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run
@@ -232,7 +233,7 @@
             listener = socket.create_server(("127.0.0.1", 0))
             listener.setblocking(False)
             ended: asyncio.Queue[Outcome] = asyncio.Queue()
-            upstream = Upstream(0, 1_000_000, 4)
+            upstream = Upstream(0, 1_000_000, 4, Figures(()))
             upstream.place("e", "127.0.0.1", listener.getsockname()[1], 0)
 
             def on_end(
@@ -259,7 +260,7 @@
         for filler in fillers:  # take what the backlog holds: the next handshake gets no answer
             filler.setblocking(False)
             filler.connect_ex(full.getsockname())
-        upstream = Upstream(0, 100_000, 4)
+        upstream = Upstream(0, 100_000, 4, Figures(()))
         upstream.place("e", "127.0.0.1", full.getsockname()[1], 0)
         ended: asyncio.Queue[Outcome] = asyncio.Queue()
         upstream.send(Attempt(0, "e", lambda _: b"x", lambda _, outcome, __: ended.put_nowait(outcome)))
@@ -277,7 +278,7 @@
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
         loop = asyncio.get_running_loop()
-        upstream = Upstream(0, 1_000_000, 4)
+        upstream = Upstream(0, 1_000_000, 4, Figures(()))
         upstream.place("e", "127.0.0.1", listener.getsockname()[1], 0)
         ended: asyncio.Queue[Outcome] = asyncio.Queue()
 
@@ -788,7 +789,7 @@
         async with Sidecar() as sidecar:
             held = await sidecar.client()
             assert await ready(held) == 200
-            drain = asyncio.create_task(program.drain(sidecar.server, sidecar.host))
+            drain = asyncio.create_task(program.drain(sidecar.server.lifecycle, sidecar.server, sidecar.host))
             while await ready(held) == 200:
                 pass
             for _ in range(2):
