Upgrade beside a running process on the platform's listening socket

Built: handover.py (the socket named by GW_FD, checked; locks in TMPDIR that tell whether another process lives), a successor's share of the descriptors, and SIGTERM that leaves the socket to the successor at once.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
 import signal
+import socket
 import sys
 
 import uvloop
 
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
+from eiderhub.sidecar.handover import Presence, inherited_socket
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.lifecycle import FLUSH_S, Lifecycle
 from eiderhub.sidecar.management import MOST, OWN_DESCRIPTORS, Management
@@ -22,6 +25,8 @@
 UPSTREAM_SHARE = 0.4  # and for connections to endpoints; the few that are left are for all else
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
+SHARE_EVERY_S = 0.1  # how often we look for other processes of this sidecar
+FIRST_LIST_S = 2.0  # how long a process beside another waits for a list before it serves all the same
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -58,17 +63,26 @@
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
-async def drain(lifecycle: Lifecycle, server: Server, host: Host) -> None:
+async def drain(lifecycle: Lifecycle, server: Server, host: Host, successor: bool = False) -> None:
     """Answer all that was taken, in time for SIGKILL, while callers are sent elsewhere."""
     end_s = min(LONGEST_S, max(c.deadline_us for c in host.settings.classes) / 1e6) + AFTER_LONGEST_S
     # What comes by then on connections that callers hold can still be served within the shortest aim.
     keep_s = end_s - min(c.aim_us for c in host.settings.classes) / 1e6
-    await lifecycle.stop(keep_s, end_s)
+    await lifecycle.stop(keep_s, end_s, successor)
     host.fail_all()
     server.close_idle(0.0)
     await asyncio.sleep(FLUSH_S)
 
 
+async def share(presence: Presence, server: Server, host: Host, sockets: int) -> None:
+    """Keep to our part of the descriptors while other processes of this sidecar live."""
+    while True:
+        part = sockets / (1 + presence.others())
+        server.most = max(1, int(CALLERS_SHARE * part))
+        host.upstream.limit(max(1, int(UPSTREAM_SHARE * part)))
+        await asyncio.sleep(SHARE_EVERY_S)
+
+
 def reload(host: Host) -> None:
     """SIGHUP: follow discovery to the address that the configuration file names now."""
     try:
@@ -80,7 +94,7 @@
     host.watcher.move(address.host, address.port)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, inherited: socket.socket | None, presence: Presence) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -90,21 +104,28 @@
     host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)))
     loop.add_signal_handler(signal.SIGHUP, reload, host)
     server = Server(host, max(1, int(CALLERS_SHARE * sockets)))
-    await server.bind(config.listen.host, config.listen.port)
+    await server.bind(config.listen.host, config.listen.port, inherited)
     if config.management:
         management = Management(server.lifecycle, host.figure_lines)
         await management.bind(config.management.host, config.management.port)
     host.start()
-    chores = (host.upstream.sweep(), host.upstream.report(), server.watch_callers(), watch_lag())
+    chores = [host.upstream.sweep(), host.upstream.report(), server.watch_callers(), watch_lag()]
+    if inherited:
+        presence.enter()
+        chores.append(share(presence, server, host, sockets))
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 50)
+    if inherited:
+        # Another process may serve on this socket: what we can't serve yet had better be taken by that one.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(host.named.wait(), FIRST_LIST_S)
     await server.listener.start_serving()
     log.info("%s serves on %s:%d", config.name, config.listen.host, config.listen.port)
     await stop.wait()
-    await drain(server.lifecycle, server, host)
+    await drain(server.lifecycle, server, host, inherited is not None and presence.others() > 0)
     for task in background:
         task.cancel()
 
@@ -118,7 +139,7 @@
     try:
         config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, inherited_socket(os.environ), Presence(os.environ.get("TMPDIR"))))
     except (ConfigError, OSError) as error:
         print(f"eiderhub.sidecar: {error}", file=sys.stderr)
         return 1
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -75,7 +75,7 @@
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.listed: set[str] = set()  # the endpoints that the list has now
-        self.ready = False  # whether any list has named endpoints
+        self.named = asyncio.Event()  # set once any list has named endpoints
         self.upstream = Upstream(
             settings.limits.conn_idle_us,
             settings.limits.connect_timeout_us,
@@ -270,5 +270,6 @@
                 self.listed.discard(endpoint.id)
             else:
                 self.listed.add(endpoint.id)
-        self.ready = self.ready or bool(self.listed)
+        if self.listed:
+            self.named.set()
         self._tell(self.balancer.discovery, form, [entry.endpoint for entry in entries])
--- a/eiderhub/sidecar/lifecycle.py
+++ b/eiderhub/sidecar/lifecycle.py
@@ -79,16 +79,19 @@
         self._callers.closing = False
         return True
 
-    async def stop(self, keep_s: float, end_s: float) -> None:
-        """Empty the sidecar for good: connections stay in use for `keep_s`, and all is over by `end_s`.
+    async def stop(self, keep_s: float, end_s: float, successor: bool = False) -> None:
+        """Empty the sidecar for good: connections stay open for `keep_s`, and all is over by `end_s`.
 
+        A successor takes what is new at once, so each answer sends its caller there.
         Danger: in a rolling restart the others may not be back yet, and who is turned away has nowhere to go.
         """
         self._stopping = True
         self._call_off()
         end_us = now_us() + int(end_s * 1e6)
-        drain = asyncio.get_running_loop().create_task(self._leave(max(ACCEPT_S, keep_s), keep_s))
-        await asyncio.sleep(ACCEPT_S)
+        accept_s = 0.0 if successor else ACCEPT_S
+        use_s = 0.0 if successor else max(ACCEPT_S, keep_s)
+        drain = asyncio.get_running_loop().create_task(self._leave(use_s, max(use_s, keep_s)))
+        await asyncio.sleep(accept_s)
         self._callers.stop_listening()
         while self._callers.any_left() and now_us() < end_us:
             await asyncio.sleep(STEP_S)
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import logging
+import socket
 from http import HTTPStatus
-from typing import NamedTuple, cast
+from typing import Any, NamedTuple, cast
 
 import httptools
 
@@ -236,13 +237,14 @@
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
         self.closing = False  # each answer is the last of its connection
-        self.lifecycle = Lifecycle(self, lambda: host.ready)
+        self.lifecycle = Lifecycle(self, host.named.is_set)
 
-    async def bind(self, host: str, port: int) -> None:
-        """Take the address; connections wait until the module has started."""
+    async def bind(self, host: str, port: int, inherited: socket.socket | None = None) -> None:
+        """Take the address, or the socket that listens there; connections wait until we begin to serve."""
         loop = asyncio.get_running_loop()
+        place: dict[str, Any] = {"sock": inherited} if inherited else {"host": host, "port": port}
         self.listener = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=BACKLOG, start_serving=False
+            lambda: CallerConnection(self), backlog=BACKLOG, start_serving=False, **place
         )
 
     def joined(self, caller: CallerConnection) -> None:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -358,6 +358,12 @@
             log.warning("no descriptor is left for a connection to an endpoint")
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
 
+    def limit(self, most: int) -> None:
+        """Keep to so many connections from now on; those that carry an attempt stay until it ends."""
+        self.most = most
+        while self.open > most and self._make_room():
+            pass
+
     def _make_room(self) -> bool:
         """Close the connection that has been idle longest."""
         pools = [pool for pool in self.pools.values() if pool.idle]
