Pass bodies of any size through in pieces, with back-pressure both ways

Answers that end with their connection, trailers, absolute-form targets, Expect and old callers are read and answered as HTTP/1.1 has them; a transfer coding other than chunked is refused. Trailers no longer count as headers: a Req-Id there could have stood for the request's own.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -519,7 +519,7 @@
 
     __slots__ = (
         "answered", "arrived", "attempts", "bucket", "due", "first_run", "grade", "held_until", "id", "level",
-        "outstanding", "paid", "price",
+        "outstanding", "paid", "price", "streamed",
     )  # fmt: skip
 
     def __init__(
@@ -534,6 +534,7 @@
         self.first_run: tuple[int, str, int] | None = None  # earliest attempt known to may have run
         self.answered = False
         self.held_until = 0  # 0: not held
+        self.streamed = -1  # the attempt whose answer is reaching the client
         self.level = 0
         self.price = 0.0
         self.paid = 0.0
@@ -1063,10 +1064,26 @@
 
     # --- outcomes ---
 
-    def streaming(self, now_us: int, call: str, attempt: int) -> None:
+    def streaming(self, now_us: int, call: str, attempt: int, spent_us: int) -> None:
+        """The first bytes tell the latency and free the call's place: what is left is transfer, not work."""
         found = self.calls.get(call)
-        if found is not None:
-            found.answered = True
+        if found is None or attempt not in found.outstanding or found.streamed >= 0:
+            return
+        found.answered = True
+        found.streamed = attempt
+        e, sent, pool, _ = found.attempts[attempt]
+        e.in_flight -= 1
+        self._release(now_us, e, pool, Outcome.OK)
+        self._judge(now_us, found, e, pool, sent, spent_us, Outcome.OK, False)
+        if self.queue.count:
+            self._dispatch(now_us)
+
+    def _release(self, now: int, e: EndpointState, pool: Pool, outcome: Outcome) -> None:
+        """An attempt that is no longer in flight at its endpoint gives its place under the cap back."""
+        if outcome in ANSWERED or not e.in_flight:
+            e.owes = now if e.in_flight else 0
+        e.used = now
+        pool.limit.in_flight -= 1
 
     def reply(
         self,
@@ -1083,12 +1100,14 @@
             return
         found.outstanding.discard(attempt)
         e, sent, pool, step = found.attempts[attempt]
+        if attempt == found.streamed:
+            if outcome is Outcome.RESET:
+                self._judge(now_us, found, e, pool, sent, spent_us, outcome, False)
+            self._answered(found)
+            return
         e.in_flight -= 1
         mute = outcome is Outcome.TIMEOUT and self._mute(now_us, e, pool, found)
-        if outcome in ANSWERED or not e.in_flight:
-            e.owes = now_us if e.in_flight else 0
-        e.used = now_us
-        pool.limit.in_flight -= 1
+        self._release(now_us, e, pool, outcome)
         if step >= 0 and outcome not in NEVER_RAN:
             silent = outcome in UNANSWERED
             long = spent_us > SILENT_RISE * pool.limit.median * found.grade.aim_us > 0
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -241,8 +241,8 @@
     ) -> None:
         """A request came in; exactly one final answer is owed for it."""
 
-    def streaming(self, now_us: int, call: str, attempt: int) -> None:
-        """The answer of a streamed class has begun: the client owns this attempt now."""
+    def streaming(self, now_us: int, call: str, attempt: int, spent_us: int) -> None:
+        """An answer has begun to reach the client, which owns this attempt now; `reply` tells its end."""
 
     def reply(
         self,
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from eiderhub.sidecar.bodies import most_kept
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
 from eiderhub.sidecar.handover import Presence, inherited_socket
@@ -103,7 +104,8 @@
     sockets = max(1, config.sockets - spare)
     host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)))
     loop.add_signal_handler(signal.SIGHUP, reload, host)
-    server = Server(host, max(1, int(CALLERS_SHARE * sockets)))
+    callers = max(1, int(CALLERS_SHARE * sockets))
+    server = Server(host, callers, most_kept(config.memory, callers))
     await server.bind(config.listen.host, config.listen.port, inherited)
     if config.management:
         management = Management(server.lifecycle, host.figure_lines)
--- /dev/null
+++ b/eiderhub/sidecar/caller.py
@@ -0,0 +1,441 @@
+"""One caller's connection: requests in, answers out, one after another."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, cast
+
+import httptools
+
+from eiderhub.sidecar.bodies import (
+    LAST_CHUNK,
+    MOST_BODY,
+    READ_SIZE,
+    STALL_S,
+    FramingError,
+    Headers,
+    Source,
+    Upload,
+    frame,
+    framing,
+)
+from eiderhub.sidecar.clock import now_us
+from eiderhub.sidecar.host import Request
+from eiderhub.sidecar.upstream import HOP_BY_HOP, Response
+
+if TYPE_CHECKING:
+    from eiderhub.sidecar.server import Server
+
+MAX_HEAD = 16 * 1024
+READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
+BODY_S = 1.5  # after a head that took long, for the body to begin
+BODY_RATE = 48_000  # bytes a second that a body has to keep up: slow clients send 64 kB, with pauses
+LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
+log = logging.getLogger(__name__)
+
+
+class Rejected(Exception):
+    """Bad input: neither the module nor an endpoint hears of it."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Incoming:
+    """A request as it came, or what was wrong with it."""
+
+    __slots__ = (
+        "arrived_us", "body", "expects", "fault", "headers", "http_1_1", "keep", "method", "upload", "url",
+    )  # fmt: skip
+
+    def __init__(self, fault: Rejected | None = None) -> None:
+        self.method = b""
+        self.url = b""
+        self.headers: Headers = []
+        self.body = b""
+        self.upload: Upload | None = None  # the body, where it is passed on as it comes
+        self.http_1_1 = True
+        self.keep = False
+        self.expects = False  # the caller waits for a word before it sends the body
+        self.arrived_us = 0
+        self.fault = fault
+
+
+class CallerConnection(asyncio.BufferedProtocol):
+    """One caller's connection: requests are served one after another."""
+
+    _buffer = bytearray(READ_SIZE)  # for all: what is read is dealt with at once
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.current: Request | None = None
+        self.waiting: list[Incoming] = []  # came before the answer to the one before
+        self.keep = True
+        self.receiving = False
+        self.due_us = 0  # by when the first request, or the one that comes in, must have moved on; 0: none
+        self.ended = False  # nothing that still comes is read
+        self.discarding = False  # the rest of the body that comes in is read for the caller's sake alone
+        self.congested = False  # whether the caller does not take what we write
+        self.blocked_since_us = 0
+        self.fault: Rejected | None = None
+        self._http_1_1 = True  # of the request that is served, as the next
+        self._served: Upload | None = None  # its body, where that is passed on as it comes
+        self._incoming: Incoming | None = None  # its head, once that is whole
+        self._source: Source | None = None  # where an answer comes from that is passed on
+        self._chunked = False  # how that answer is framed
+        self._paused = False
+        self.parser = httptools.HttpRequestParser(self)
+
+    # --- the socket ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=self.server.most_kept)
+        self.quiet_since_us = now_us()
+        self.due_us = self.quiet_since_us + int(READ_S * 1e6)
+        self.server.joined(self)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.ended:
+            return
+        try:
+            self.parser.feed_data(memoryview(self._buffer)[:nbytes])
+        except httptools.HttpParserUpgrade:
+            self.ended = True  # the request itself was taken, and its answer closes the connection
+        except httptools.HttpParserError:
+            self.stop(self.fault or Rejected(400, "malformed HTTP"))
+
+    def stop(self, fault: Rejected) -> None:
+        """Read nothing more; the answer comes in its turn, and the connection closes after it."""
+        if self.ended:
+            return
+        self.ended = True
+        incoming, self._incoming = self._incoming, None
+        if self.discarding:
+            self.transport.close()
+        elif incoming is None or incoming.upload is None:
+            self._accept(Incoming(fault))
+        elif self.current is not None and self.current.upload is incoming.upload:
+            self.server.host.withdraw(self.current, fault.status, f"{fault}\n".encode())
+        else:  # it waits for its turn already
+            incoming.fault = fault
+
+    def eof_received(self) -> bool:
+        return False  # a caller that closes has gone away, whatever it still could read
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ended = True
+        del self.parser  # it calls back into this object: a cycle, and those would pile up
+        self.waiting.clear()
+        self._incoming = self._source = self._served = None
+        self.server.left(self)
+        current = self._over()
+        if current is not None:
+            self.server.host.gone(current)
+
+    def _over(self) -> Request | None:
+        """The request that was served is so no longer."""
+        current, self.current = self.current, None
+        if current is not None:
+            self.server.forget(current.id)
+            self.server.host.figures.inflight -= current.whole
+        return current
+
+    def flow(self) -> None:
+        """Read on, or stop reading, as what has come is taken."""
+        upload = self._incoming.upload if self._incoming is not None else None
+        pause = bool(self.waiting) or (upload is not None and upload.congested)
+        if pause == self._paused or self.transport.is_closing():
+            return
+        self._paused = pause
+        if pause:
+            self.due_us = 0  # it is not the caller who keeps us waiting
+            self.transport.pause_reading()
+        else:
+            if self.receiving:
+                self.due_us = now_us() + int(READ_S * 1e6)
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        self.congested = True
+        self.blocked_since_us = now_us()
+        if self._source is not None:
+            self._source.flow()
+
+    def resume_writing(self) -> None:
+        self.congested = False
+        self.blocked_since_us = 0
+        if self._source is not None:
+            self._source.flow()
+        elif self.waiting:
+            self._next()
+
+    # --- the parser's calls ---
+
+    def on_message_begin(self) -> None:
+        self.receiving = True
+        self.due_us = self.due_us or now_us() + int(READ_S * 1e6)
+        self._url = b""
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._head_size = self._body_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._grow_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._grow_head(len(name) + len(value))
+        if self._incoming is None:  # what comes after the body, trailers, belongs to the way it came by
+            self._headers.append((name, value))
+
+    def _grow_head(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > MAX_HEAD:
+            self._fault(Rejected(431, "the headers are too long"))
+
+    def on_headers_complete(self) -> None:
+        incoming = self._incoming = Incoming()
+        incoming.method = self.parser.get_method()
+        incoming.url = self._url
+        incoming.headers = self._headers
+        incoming.http_1_1 = self.parser.get_http_version() == "1.1"
+        incoming.keep = incoming.http_1_1 and self.parser.should_keep_alive()
+        try:
+            length, chunked = framing(self._headers)
+        except FramingError as error:
+            self._fault(Rejected(501, str(error)))
+        if length is None and not chunked:
+            return
+        now = now_us()
+        if self.due_us:
+            self.due_us = max(self.due_us, now + int(BODY_S * 1e6))
+        if (length or 0) > MOST_BODY:
+            self._fault(Rejected(413, "the body is too long"))
+        incoming.expects = incoming.http_1_1 and any(
+            name.lower() == b"expect" and value.strip().lower() == b"100-continue"
+            for name, value in incoming.headers
+        )
+        if incoming.expects and self.current is None and not self.waiting:
+            try:
+                self._invite(incoming)
+            except Rejected as rejected:
+                self._fault(rejected)
+        if (length or 0) > self.server.most_kept:
+            self._pass_on(incoming, length)
+
+    def _invite(self, incoming: Incoming) -> None:
+        """Ask for the body, where nothing is wrong with the head."""
+        incoming.expects = False
+        self.server.check(incoming)
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _pass_on(self, incoming: Incoming, length: int | None) -> None:
+        """The body is too large to be kept: it is taken with its head, and passed on as it comes."""
+        incoming.upload = Upload(length, self.server.most_kept, self, self._body)
+        incoming.arrived_us = now_us()
+        self._body = []
+        self._accept(incoming)
+
+    def on_body(self, body: bytes) -> None:
+        self._body_size += len(body)
+        if self.due_us:
+            now = now_us()
+            moved = self.due_us + len(body) * 1_000_000 // BODY_RATE
+            self.due_us = min(moved, now + int(READ_S * 1e6))
+        if self._body_size > MOST_BODY:
+            self._fault(Rejected(413, "the body is too long"))
+        incoming = self._incoming
+        if incoming is None or self.discarding:
+            return
+        if incoming.upload is not None:
+            incoming.upload.feed(body)
+            self.flow()
+            return
+        self._body.append(body)
+        if self._body_size > self.server.most_kept:
+            self._pass_on(incoming, None)
+
+    def _fault(self, fault: Rejected) -> None:
+        self.fault = fault
+        raise fault
+
+    def on_message_complete(self) -> None:
+        self.receiving = False
+        self.due_us = 0
+        incoming, self._incoming = self._incoming, None
+        if self.discarding or incoming is None:
+            self.ended = True
+            self.transport.close()
+            return
+        incoming.keep = incoming.keep and not self.parser.should_upgrade()
+        if incoming.upload is None:
+            incoming.body = b"".join(self._body)
+            incoming.arrived_us = now_us()
+            self._accept(incoming)
+            return
+        incoming.upload.finish()
+        incoming.arrived_us = now_us()
+        if self.current is not None and self.current.upload is incoming.upload:
+            self.server.host.figures.inflight += 1
+            self.server.host.came_whole(self.current)
+
+    # --- one request after another ---
+
+    @property
+    def busy(self) -> bool:
+        return self.current is not None or self.receiving or bool(self.waiting)
+
+    def _accept(self, incoming: Incoming) -> None:
+        if self.current is not None or self.waiting or self.congested:
+            self.waiting.append(incoming)
+            self.flow()
+            return
+        self._serve(incoming)
+
+    def _serve(self, incoming: Incoming) -> None:
+        self.keep = incoming.keep
+        self._http_1_1 = incoming.http_1_1
+        self._served = incoming.upload
+        try:
+            request = self.server.admit(self, incoming)
+        except Rejected as rejected:
+            self.answer(rejected.status, [], f"{rejected}\n".encode())
+            return
+        except Exception:
+            # It has not reached the module, but what was asked for is unclear: no promise is made.
+            log.exception("a request could not be read")
+            self.answer(500, [], b"")
+            return
+        if request is not None:
+            self.current = request
+            self.server.open_ids.add(request.id)
+            self.server.host.figures.inflight += request.whole
+            self.server.host.take(request)
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write an answer; the connection closes after it where the caller, the input or our end asks so."""
+        lines = self._answer_begins(status, headers)
+        lines.append(b"Content-Length: %d" % len(body))
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        self._answer_ends(status)
+
+    def _answer_begins(self, status: int, headers: Headers) -> list[bytes]:
+        # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
+        self.keep = self.keep and not self._unread() and (bool(self.waiting) or not self.server.closing)
+        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
+        lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
+        if not self.keep:
+            lines.append(b"Connection: close")
+        return lines
+
+    def _answer_ends(self, status: int) -> None:
+        self._source = None
+        current = self._over()
+        if current is not None:
+            self.server.host.figures.ended(current.grade, status)
+        self.quiet_since_us = now_us()
+        if self.keep:
+            self._next()
+        else:
+            self._finish()
+
+    # --- an answer that is passed on as it comes ---
+
+    def begin(self, head: Response, source: Source) -> CallerConnection:
+        length = head.framing.length
+        self._chunked = length is None and self._http_1_1
+        if length is None and not self._http_1_1:
+            self.keep = False  # such a caller knows no chunks: the connection's end is the answer's
+        lines = self._answer_begins(200, head.headers)
+        if self._chunked:
+            lines.append(b"Transfer-Encoding: chunked")
+        elif length is not None:
+            lines.append(b"Content-Length: %d" % length)
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        self._source = source
+        return self
+
+    def pass_on(self, data: bytes) -> None:
+        self.transport.write(frame(data) if self._chunked else data)
+
+    def finish(self) -> None:
+        if self._chunked:
+            self.transport.write(LAST_CHUNK)
+        self._answer_ends(200)
+
+    def break_off(self) -> None:
+        """The caller must be able to tell that the answer is not whole: its connection is reset."""
+        current = self._over()
+        if current is None:  # the caller has gone
+            return
+        self.server.host.figures.ended(current.grade, 502)
+        self._source = None
+        self.ended = True
+        sock: Any = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.transport.abort()
+
+    # --- the next request, or the end ---
+
+    def _next(self) -> None:
+        if self._incoming is not None and self._incoming.expects and not self.waiting:
+            try:
+                self._invite(self._incoming)
+            except Rejected as rejected:
+                self.stop(rejected)
+        if self.waiting and not self.congested:
+            # Later: the answer may have come from within a call that still works on the last request.
+            asyncio.get_running_loop().call_soon(self._resume)
+
+    def _resume(self) -> None:
+        if self.waiting and self.current is None and not self.congested:
+            incoming = self.waiting.pop(0)
+            self.flow()
+            self._serve(incoming)
+
+    def _unread(self) -> bool:
+        """Whether the body of the request that is answered is still coming in."""
+        return self._served is not None and not self._served.whole
+
+    def _finish(self) -> None:
+        """Close, but not before the caller has had time to read why.
+
+        A socket that is closed with unread input is reset, and the answer on its way would be lost. A caller
+        in the midst of a body may look for an answer only after it: what comes is read and thrown away.
+        """
+        self.waiting.clear()
+        if self._served is not None and self._unread():
+            self._served.give_up()
+        if not self.ended and self._unread():
+            self.discarding = True
+            self.flow()
+        elif (self.ended or self.receiving) and self.transport.can_write_eof():
+            self.ended = True
+            self.transport.write_eof()
+            asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+        else:
+            self.ended = True
+            self.transport.close()
+
+    def look_after(self, now: int) -> None:
+        """Guards the descriptors against callers that never begin, or never finish, what they do."""
+        if self.blocked_since_us and now - self.blocked_since_us > STALL_S * 1e6:
+            self.transport.abort()
+        elif self.due_us and not self.ended and now >= self.due_us:
+            if self.receiving and not self.discarding:  # the answer closes the connection
+                self.stop(Rejected(408, "the request did not come whole"))
+            else:
+                self.ended = True
+                self.transport.close()
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -13,6 +13,7 @@
 from eiderhub.sidecar.discovery import Listing, read_listing
 
 SOCKETS = 1024  # descriptors, where the configuration states no limit
+MEMORY_MB = 128  # likewise
 
 
 class ConfigError(Exception):
@@ -35,6 +36,7 @@
     known: Listing
     settings: Settings
     management: Address | None = None  # where operators call
+    memory: int = MEMORY_MB << 20  # bytes
 
 
 def parse_address(text: object, key: str) -> Address:
@@ -78,6 +80,9 @@
     sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
     if not isinstance(sockets, int) or sockets < 1:
         raise ConfigError(f"limits.sockets: impossible value {sockets!r}")
+    memory_mb = limits.get("memory_mb", MEMORY_MB) if isinstance(limits, dict) else MEMORY_MB
+    if not isinstance(memory_mb, int | float) or not memory_mb > 0:
+        raise ConfigError(f"limits.memory_mb: impossible value {memory_mb!r}")
     try:
         settings = settings_from(document.get("settings"))
     except ValueError as error:
@@ -96,4 +101,5 @@
         known=known,
         settings=settings,
         management=parse_address(management, "GW_MANAGEMENT") if management else None,
+        memory=int(memory_mb * (1 << 20)),
     )
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -20,6 +20,7 @@
 WAIT_FROM = 0.8  # at least this part: the watches of a fleet that starts at once must not come back in step
 PATIENCE_S = 1.0  # an answer may be late by so much: what it had to tell counts as told a second later
 CONNECT_S = 2.0
+MOST_LIST = 8 << 20  # bytes
 PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
 log = logging.getLogger(__name__)
 
@@ -126,7 +127,7 @@
     async def _ask(self) -> Listing:
         loop = asyncio.get_running_loop()
         if self._connection is None or self._connection.lost:
-            fresh = Connection(self)
+            fresh = Connection(self, MOST_LIST)
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: fresh, self.host, self.port)
             self._connection = fresh
@@ -148,6 +149,9 @@
     def on_written(self, connection: Connection) -> None:
         pass  # a call to discovery is no attempt
 
+    def on_large(self, connection: Connection, head: Response) -> None:
+        return None  # a list is read whole or not at all
+
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(response)
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -14,20 +14,28 @@
 
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.sidecar.bodies import Headers, Source, Upload, most_kept
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import Listed, Watcher
 from eiderhub.sidecar.figures import Figures
-from eiderhub.sidecar.upstream import Attempt, Response, Upstream
+from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
 log = logging.getLogger(__name__)
 
 
 class Caller(Protocol):
-    """Who asked: takes the one final answer."""
+    """Who asked: takes the one final answer, whole or as it comes."""
 
-    def answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None: ...
+    def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
+
+    def begin(self, head: Response, source: Source) -> Receiver:
+        """The first bytes of an answer; the rest follows, then `finish` or `break_off`."""
+
+    def finish(self) -> None: ...
+
+    def break_off(self) -> None: ...
 
 
 class Request:
@@ -35,7 +43,7 @@
 
     __slots__ = (
         "alarm", "answered", "attempts", "body", "call", "caller", "deadline_us", "due_us", "grade", "head",
-        "hint_us", "id", "out", "tenant",
+        "hint_us", "id", "out", "passing", "patience_us", "tenant", "upload", "whole",
     )  # fmt: skip
 
     def __init__(
@@ -44,25 +52,34 @@
         grade: str,
         tenant: str | None,
         hint_us: int | None,
-        deadline_us: int,
+        arrived_us: int,
+        patience_us: int,
         head: bytes,
-        body: bytes,
+        body: bytes | Upload,
         request_id: bytes = b"",
     ) -> None:
         self.caller = caller
-        self.id = request_id  # the client's
         self.grade = grade
         self.tenant = tenant
         self.hint_us = hint_us
-        self.deadline_us = deadline_us  # when the client gives up
-        self.due_us = deadline_us - ANSWER_MARGIN_US  # when the answer leaves at the latest
+        self.patience_us = patience_us  # how long the client waits, from its last byte on
         self.head = head  # request line and headers for endpoints, but for the time that is left
-        self.body = body
+        self.body = body if isinstance(body, bytes) else b""
+        self.upload = body if isinstance(body, Upload) else None
+        self.id = request_id  # the client's
         self.call = ""
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts that have not ended
-        self.answered = False
+        self.answered = False  # or its answer has begun
+        self.passing: Attempt | None = None  # whose answer is passed on as it comes
+        self.whole = self.upload is None or self.upload.whole
         self.alarm: Alarm | None = None
+        self.came(arrived_us)
+
+    def came(self, now: int) -> None:
+        """The client's time runs from here."""
+        self.deadline_us = now + self.patience_us  # when the client gives up
+        self.due_us = self.deadline_us - ANSWER_MARGIN_US  # when the answer leaves at the latest
 
 
 class Host:
@@ -81,6 +98,7 @@
             settings.limits.connect_timeout_us,
             most,
             self.figures,
+            most_kept(config.memory, most),
         )
         self.watcher = Watcher(
             config.discovery.host,
@@ -121,17 +139,42 @@
         # An id of our own: a caller that repeats one must not meet what the module still holds under it.
         call = request.call = f"{self.serial:016x}"
         self.requests[call] = request
-        request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
+        if request.whole:
+            request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
         left = request.deadline_us - now_us()
         if not self._tell(self.balancer.order, call, request.grade, request.tenant, left, request.hint_us):
             self._abandon(request, 500)
 
+    def came_whole(self, request: Request) -> None:
+        """The last byte of a body that is passed on has come: its time runs now, and that of its attempts."""
+        request.whole = True
+        if request.answered:
+            return
+        request.came(now_us())
+        request.alarm = Alarm(request.due_us, partial(self._out_of_time, request))
+        for attempt in request.attempts:
+            if not attempt.over:
+                self._limit(request, attempt)
+
+    def withdraw(self, request: Request, status: int, reason: bytes) -> None:
+        """The rest of the body never came, or was no HTTP: no attempt can have been written whole."""
+        self._abandon(request, status, reason)
+        self._drop_attempts(request, Outcome.CANCELLED)
+
     def gone(self, request: Request) -> None:
         """The client has closed its connection: nothing more is sent for it."""
-        if not request.answered:
+        if request.passing is not None:
+            request.passing.drop(Outcome.CANCELLED)
+        elif not request.answered:
+            if not request.whole:
+                self._drop_attempts(request, Outcome.CANCELLED)
             self._close(request)
             self._tell(self.balancer.expired, request.call)
 
+    def _drop_attempts(self, request: Request, outcome: Outcome) -> None:
+        for attempt in list(request.attempts):
+            attempt.drop(outcome)
+
     def _close(self, request: Request) -> None:
         request.answered = True
         if not request.out:
@@ -141,40 +184,52 @@
         """Nothing more can come for it; its attempts point back at it, so it would be garbage in a cycle."""
         self.requests.pop(request.call, None)
         request.attempts.clear()
+        request.passing = None
         # Not before: an attempt that outlives its request, at a silent machine, must end by time as well.
         if request.alarm is not None:
             request.alarm.cancel()
             request.alarm = None  # it points back at the request, too
 
-    def _answer(self, request: Request, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+    def _answer(self, request: Request, status: int, headers: Headers, body: bytes) -> None:
         """The one final answer: whatever would be a second one is dropped here."""
         if request.answered:
             return
         self._close(request)
         request.caller.answer(status, headers, body)
 
-    def _abandon(self, request: Request, status: int) -> None:
+    def _abandon(self, request: Request, status: int, reason: bytes = b"") -> None:
         """Answer in place of the module, and tell it that the request is over."""
         if not request.answered:
-            self._answer(request, status, [], b"")
+            self._answer(request, status, [], reason)
             self._tell(self.balancer.expired, request.call)
 
     def _out_of_time(self, request: Request) -> None:
         """Attempts end by time, and so does what the module holds: an answer is due now, not later."""
-        for attempt in list(request.attempts):
-            attempt.drop(Outcome.TIMEOUT)
+        self._drop_attempts(request, Outcome.TIMEOUT)
         self._abandon(request, 504)
 
     def fail_all(self) -> None:
-        """The process ends: what is still open is answered now."""
+        """The process ends: what is still open is answered, or broken off, now."""
         for request in list(self.requests.values()):
-            self._abandon(request, 504)
+            if request.passing is not None:
+                request.passing.drop(Outcome.RESET)
+            else:
+                self._abandon(request, 504)
 
     # --- attempts ---
 
-    def _data(self, request: Request, until_us: int, now: int) -> bytes | None:
+    def _limit(self, request: Request, attempt: Attempt) -> None:
+        """End the attempt in time: its own, where that is shorter than the request's."""
+        attempt.until_us = request.due_us
+        if attempt.wait_us:
+            attempt.until_us = min(request.due_us, now_us() + attempt.wait_us)
+        if attempt.until_us < request.due_us:
+            attempt.alarm = Alarm(attempt.until_us, partial(attempt.drop, Outcome.TIMEOUT))
+
+    def _data(self, request: Request, attempt: Attempt, now: int) -> bytes | None:
         """The bytes of an attempt that is written now; none once the request is over."""
-        left_ms = (until_us - now) // 1000
+        # While the body comes the time does not run yet: the endpoint is told all of it.
+        left_ms = ((attempt.until_us - now) if attempt.until_us else request.patience_us) // 1000
         if request.answered or left_ms < 1:
             return None
         return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, left_ms, request.body)
@@ -182,7 +237,13 @@
     def _ended(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         request.out -= 1
         self.upstream.count(outcome.name.lower())
-        if outcome is Outcome.OK and response is not None:
+        if request.passing is attempt:
+            request.passing = None
+            if outcome is Outcome.OK:
+                request.caller.finish()
+            else:
+                request.caller.break_off()
+        elif outcome is Outcome.OK and response is not None:
             self._answer(request, 200, response.headers, response.body)
         if request.answered and not request.out:
             self._discard(request)
@@ -199,6 +260,24 @@
         if not told and not request.out:
             self._abandon(request, 500)
 
+    def _begin(self, request: Request, attempt: Attempt, head: Response) -> Receiver | None:
+        """The answer is passed on as it comes: no alarm ends it now, and nothing else is waited for."""
+        if request.answered:
+            return None
+        request.answered = True
+        request.passing = attempt
+        for alarm in (request.alarm, attempt.alarm):
+            if alarm is not None:
+                alarm.cancel()
+        request.alarm = attempt.alarm = None  # they point back
+        receiver = request.caller.begin(head, attempt)
+        spent = now_us() - attempt.sent_us
+        for other in list(request.attempts):
+            if other is not attempt:
+                other.drop(Outcome.CANCELLED)
+        self._tell(self.balancer.streaming, request.call, attempt.number, spent)
+        return receiver
+
     # --- the module's actions ---
 
     def hand_off(self, call: str, endpoint: str, max_wait_us: int) -> None:
@@ -206,29 +285,34 @@
         if request is None:
             log.error("an attempt was asked for a request that is over")
             return
-        until = request.due_us
-        if max_wait_us:
-            until = min(until, now_us() + max_wait_us)
         attempt = Attempt(
             len(request.attempts),
             endpoint,
-            partial(self._data, request, until),
+            partial(self._data, request),
             partial(self._ended, request),
+            partial(self._begin, request),
+            request.upload,
         )
+        attempt.wait_us = max_wait_us
         request.attempts.append(attempt)
         request.out += 1
-        if request.answered or attempt.number >= self.settings.limits.max_attempts:
+        spent = request.upload is not None and (request.upload.begun or request.upload.given_up)
+        if request.answered or spent or attempt.number >= self.settings.limits.max_attempts:
             asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
             return
-        if until < request.due_us:
-            attempt.alarm = Alarm(until, partial(attempt.drop, Outcome.TIMEOUT))
+        if request.whole:
+            self._limit(request, attempt)
         self.upstream.send(attempt)
 
     def cancel(self, call: str, attempt: int) -> None:
         request = self.requests.get(call)
         if request is not None and attempt < len(request.attempts):
             # Later, for its outcome must not reach the module inside one of the module's own calls.
-            asyncio.get_running_loop().call_soon(request.attempts[attempt].drop, Outcome.CANCELLED)
+            asyncio.get_running_loop().call_soon(self._cancel, request, request.attempts[attempt])
+
+    def _cancel(self, request: Request, attempt: Attempt) -> None:
+        if request.passing is not attempt:  # what has begun to reach the client is the client's
+            attempt.drop(Outcome.CANCELLED)
 
     def shed(self, call: str, wait_us: int) -> None:
         request = self.requests.get(call)
--- a/eiderhub/wirehost.py
+++ b/eiderhub/wirehost.py
@@ -215,8 +215,8 @@
         self._instance(parts[1]).expired(self.now, parts[2])
 
     def _streaming(self, parts: list[str]) -> None:
-        _int(parts[5], "SpentUs")
-        self._instance(parts[1]).streaming(self.now, parts[2], _int(parts[4], "Hop"))
+        spent = _int(parts[5], "SpentUs")
+        self._instance(parts[1]).streaming(self.now, parts[2], _int(parts[4], "Hop"), spent)
 
     def _sampled(self, parts: list[str]) -> None:
         """Probe results: this module sends no probes, so they are only checked."""
