Open the outermost caps fast until the first sign of crowding

Ruled out: tenants' budgets and stress (no such refusals in the lines), the inner tiers (they refuse nothing), the door in an upgrade (0 requests ended there).

At fault: ConcurrencyLimit.learn, which grows by a tenth a round from 6 calls an endpoint, as if that figure were known to be near. It grows by half a round now until a median is half way to its target.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -75,6 +75,7 @@
 ROUND_PER_CALL = 1.5  # and so many more for each call of the cap
 GROW_SHARE = 0.1  # growth in a good round, as a share of the cap
 GROW_CALLS = 0.3  # and at least this many calls
+OPENING_SHARE = 0.5  # that share until the first sign of crowding: nothing is known yet of what they bear
 DEEPEST_CUT = 0.6  # a bad round leaves at least this share of the cap
 FULL_COUNTS = 1.0  # an endpoint that turns a call away counts as a call that took this share of its aim
 BINDING = 0.7  # the cap binds when this share of it is in use
@@ -318,6 +319,7 @@
         self.bound = False  # whether the cap was in the way during this round
         self.roots = CHANCE_ROOTS if layer else CHANCE_ROOTS_OUTSIDE
         self.slack = 0.5  # 1 uncrowded, 0 with latencies at their target
+        self.opening = not layer  # until the first sign of crowding
         self.changed = 0
 
     def size(self, fair: float) -> None:
@@ -373,8 +375,12 @@
         if median > target:
             self.cap = max(self.floor, self.cap * max(DEEPEST_CUT, target / median))
             self.changed = now
+            self.opening = False
         elif self.bound:
-            self.cap += max(GROW_CALLS, GROW_SHARE * self.cap)
+            # Danger: at a tenth a round a process that has just started refuses for ten seconds what its
+            # endpoints have room for, and in an upgrade each one has.
+            self.opening = self.opening and self.slack >= 0.5
+            self.cap += max(GROW_CALLS, (OPENING_SHARE if self.opening else GROW_SHARE) * self.cap)
         self.round, self.bound = Histogram(), False
 
 
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -406,6 +406,37 @@
     assert 15.0 < limit.cap < 30.0
 
 
+def test_outermost_cap_opens_fast_and_only_until_the_first_sign_of_crowding() -> None:
+    """Found on the operators' days: a quarter of the calls were refused in the first ten seconds."""
+
+    def grown(layer: int) -> float:
+        limit = ConcurrencyLimit(layer)
+        limit.size(1.0)
+        at = 0
+        while not limit.base:  # the first round: the cap binds, nothing is crowded
+            at += 50 * MS
+            limit.in_flight = int(limit.cap)
+            limit.learn(at, at - 1, 0.1, S)
+        before = limit.cap
+        while limit.cap == before:
+            at += 50 * MS
+            limit.in_flight = int(limit.cap)
+            limit.learn(at, at - 1, 0.1, S)
+        return limit.cap / before
+
+    assert grown(0) == pytest.approx(1.5)
+    assert grown(1) == pytest.approx(1.1)
+
+    limit = ConcurrencyLimit(0)
+    limit.size(1.0)
+    for i in range(200):  # latencies rise by half: no cut yet, but no opening either
+        limit.in_flight = int(limit.cap)
+        limit.learn(i * 50 * MS, i * 50 * MS - 1, 0.1 if i < 60 else 0.17, S)
+        if not limit.opening:
+            break
+    assert 60 < i < 200
+
+
 def test_silent_endpoint_is_ejected_although_its_calls_overlap() -> None:
     """Found on case1319: a copy sent a hung endpoint eleven calls in five seconds and never ejected it."""
     host = Host(settings(balancers=1), endpoints(4))
