Make room for callers by who was served longest ago, and count what is closed at once

Ruled out: the module's caps (far from binding in the state lines), descriptors themselves, CPU.

At fault: Server.joined. It closed the caller that connected first, which is a client's and not the crowd's, and counted it until the loop's next turn, so that newcomers of one turn all closed the same one and were then refused for being too many. The one served longest ago makes room now and counts no more; where none is idle, one whose first request has not come in a second; past a small excess the newcomer itself.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -91,6 +91,7 @@
         self._source: Source | None = None  # where an answer comes from that is passed on
         self._chunked = False  # how that answer is framed
         self._paused = False
+        self._first = True  # no answer has been given yet
         self.parser = httptools.HttpRequestParser(self)
 
     # --- the socket ---
@@ -299,6 +300,18 @@
     def busy(self) -> bool:
         return self.current is not None or self.receiving or bool(self.waiting)
 
+    @property
+    def unheard(self) -> bool:
+        """Whether nothing has come whole on this connection yet."""
+        return self._first and self.receiving and self.current is None and not self.waiting
+
+    def make_way(self) -> None:
+        self.ended = True
+        if self.congested:
+            self.transport.abort()
+        else:
+            self.transport.close()
+
     def _accept(self, incoming: Incoming) -> None:
         if self.current is not None or self.waiting or self.congested:
             self.waiting.append(incoming)
@@ -349,6 +362,8 @@
         if current is not None:
             self.server.host.figures.ended(current.grade, status)
         self.quiet_since_us = now_us()
+        self._first = False
+        self.server.served(self)
         if self.keep:
             self._next()
         else:
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -20,6 +20,8 @@
 BACKLOG = 1024
 TALLY_EVERY_S = 5.0  # how often it is logged what callers were turned away for
 MOST_REASONS = 20  # told apart in one such line
+UNHEARD_S = 1.0  # a first request that has not come whole by then may have to make room for others
+EXCESS = 8  # connections past those that callers may have, to be told so
 BUSY_WAIT = b"1"  # Retry-After where no descriptor is left
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
 log = logging.getLogger(__name__)
@@ -32,7 +34,7 @@
         self.host = host
         self.most_kept = most_kept  # of a body, by each connection, in either direction
         self.most = most  # connections that callers may have open
-        self.callers: dict[CallerConnection, None] = {}  # the longest connected first
+        self.callers: dict[CallerConnection, None] = {}  # those first that were served longest ago
         self.open_ids: set[bytes] = set()
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
@@ -51,10 +53,28 @@
     def joined(self, caller: CallerConnection) -> None:
         self.callers[caller] = None
         if len(self.callers) > self.most:
-            for other in self.callers:
-                if not other.busy and other is not caller:
-                    other.transport.close()
-                    break
+            self._make_room(caller)
+
+    def served(self, caller: CallerConnection) -> None:
+        """Who has just been served is the last to make room."""
+        if self.callers.pop(caller, caller) is None:
+            self.callers[caller] = None
+
+    def _make_room(self, newest: CallerConnection) -> None:
+        """Close an idle connection; where there is none, one whose first request takes its time to come.
+
+        What is closed no longer counts: its end comes only with a later turn of the loop, and until then each
+        newcomer would close the same one again, and be refused for it.
+        """
+        before = now_us() - int(UNHEARD_S * 1e6)
+        other = next((c for c in self.callers if not c.busy and c is not newest), None)
+        other = other or next((c for c in self.callers if c.unheard and c.quiet_since_us < before), None)
+        if other is None and len(self.callers) > self.most + EXCESS:
+            other = newest  # callers must not take the descriptors of all else
+        if other is not None:
+            del self.callers[other]
+            self.count("closed to make room")
+            other.make_way()
 
     def left(self, caller: CallerConnection) -> None:
         self.callers.pop(caller, None)
@@ -108,6 +128,7 @@
         if len(self.callers) > self.most:
             caller.keep = False
             self.host.figures.ended(grade.name, 503)
+            self.count("503 too many connections")
             caller.answer(503, [(b"Retry-After", BUSY_WAIT)], b"")  # harmless: it was sent nowhere
             return None
         return request
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -515,6 +515,46 @@
     run(test())
 
 
+def test_crowd_of_callers_that_stay_makes_room_for_those_that_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found on the operators' days: hundreds were refused while most connections stood idle."""
+    monkeypatch.setattr(server, "UNHEARD_S", 0.0)
+
+    async def test() -> None:
+        async with Sidecar(callers=4) as sidecar:
+            active = await sidecar.client()
+            crowd = [await sidecar.client() for _ in range(3)]
+            for client in crowd:
+                assert await ready(client) == 200
+            assert await ready(active) == 200  # served after them, so it stays
+            # Two come within one turn of the loop, with their requests.
+            fresh = [socket.create_connection(("127.0.0.1", sidecar.port)) for _ in range(2)]
+            for sock in fresh:
+                sock.sendall(b"GET /look/a HTTP/1.1\r\nReq-Id: %d\r\n" % sock.fileno())
+                sock.sendall(b"Req-Owner: acme\r\nReq-Deadline-Ms: 60000\r\n\r\n")
+            for _ in fresh:
+                (await sidecar.endpoints[0].next()).reply()
+            for sock in fresh:
+                sock.setblocking(False)
+                answer = await asyncio.get_running_loop().sock_recv(sock, 100)
+                assert answer.startswith(b"HTTP/1.1 200 ")
+            assert [await c.reader.read() for c in crowd[:2]] == [b"", b""]
+            assert sidecar.host.figures.busy["look"] == 0
+            half = [await sidecar.client() for _ in range(20)]
+            for client in half:  # they begin a request and leave it at that
+                client.writer.write(HEAD.encode())
+            while sum(caller.receiving for caller in sidecar.server.callers) < 4:
+                await asyncio.sleep(0.01)
+            assert len(sidecar.server.callers) <= 4 + server.EXCESS
+            late = await sidecar.client()
+            late.send("look")
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await late.answer()).status == 200
+            for sock in fresh:
+                sock.close()
+
+    run(test())
+
+
 async def ready(client: Client) -> int:
     client.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
     return (await client.answer()).status
