Give up a list that stands still once it has begun, and ask for it again

Symptom: lists break off or stall while endpoints are replaced. A break was a failed call before; a stall was waited out for the whole wait of a watch and a second more, up to half of AskEveryUs.

Built: Watcher minds the gaps from an answer's first byte on (0.75 s each, 5 s in all); nothing is applied in part.

--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -19,6 +19,8 @@
 WAIT_SHARE = 0.5
 WAIT_FROM = 0.8  # at least this part: the watches of a fleet that starts at once must not come back in step
 PATIENCE_S = 1.0  # an answer may be late by so much: what it had to tell counts as told a second later
+GAP_S = 0.75  # a list that has begun may stand still for so long
+MOST_LIST_S = 5.0  # and take so long as a whole
 CONNECT_S = 2.0
 MOST_LIST = 8 << 20  # bytes
 PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
@@ -90,6 +92,7 @@
         self._task: asyncio.Task[None] | None = None
         self._connection: Connection | None = None
         self._answer: asyncio.Future[Response] | None = None
+        self._gap: asyncio.TimerHandle | None = None
 
     def turn(self, on: bool) -> None:
         if on and self._task is None:
@@ -130,17 +133,38 @@
             fresh = Connection(self, MOST_LIST)
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: fresh, self.host, self.port)
+            fresh.on_moved = self._moved
             self._connection = fresh
         self._answer = loop.create_future()
         wait_ms = int(self.wait_ms * random.uniform(WAIT_FROM, 1.0))
         path = f"/discovery/hosts?after={self.generation}&wait_ms={wait_ms}"
         self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S):
-            response = await self._answer
+        try:
+            async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S) as self._patience:
+                response = await self._answer
+        finally:
+            self._mind_gap(False)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
         return read_listing(json.loads(response.body))
 
+    def _moved(self) -> None:
+        """More has come: from an answer's first byte on only a gap, or its whole length, ends the wait."""
+        if self._answer is None or self._answer.done():
+            return
+        if self._gap is None:
+            self._patience.reschedule(asyncio.get_running_loop().time() + MOST_LIST_S)
+        self._mind_gap(True)
+
+    def _mind_gap(self, on: bool) -> None:
+        if self._gap is not None:
+            self._gap.cancel()
+        self._gap = asyncio.get_running_loop().call_later(GAP_S, self._stalled) if on else None
+
+    def _stalled(self) -> None:
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(TimeoutError("the list stands still"))
+
     def _hang_up(self) -> None:
         if self._connection is not None:
             self._connection.close()
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -94,6 +94,7 @@
         self.idle_since = 0
         self.exchanges = 0  # requests written to it
         self.moved_us = 0  # when something of the answer came, or could have come, last
+        self.on_moved: Callable[[], None] | None = None  # told of that, where somebody wants to know
         self.congested = False  # whether the endpoint does not take what we write
         self._upload: Upload | None = None
         self._receiver: Receiver | None = None
@@ -140,6 +141,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         # It calls back into this object: a cycle, and those that outlive a young collection pile up.
         del self._parser
+        self.on_moved = None
         self._let_go()
         if not self.lost:
             self.lost = True
@@ -169,6 +171,8 @@
             self.fail()
             return
         self.moved_us = now_us()
+        if self.on_moved is not None:
+            self.on_moved()
         try:
             self._parser.feed_data(memoryview(self._buffer)[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -671,6 +671,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("end", ["stalls", "breaks off"])
+def test_list_that_does_not_come_whole_is_not_applied_and_asked_for_again(
+    end: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "GAP_S", 0.1)
+
+    async def test() -> None:
+        async with Sidecar(endpoints=2, Rules={"AskEveryUs": 60_000_000}) as sidecar:
+            asked = await sidecar.discovery.next()
+            body = listing(2, True, row("s-0", sidecar.endpoints[0].address))
+            asked.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            asked.writer.write(body[:-1])
+            if end == "breaks off":
+                asked.writer.close()
+            again = await sidecar.discovery.next()  # long before the wait that was asked for has passed
+            assert again.message.first.startswith("GET /discovery/hosts?after=1&")
+            assert again.connection != asked.connection
+            assert sidecar.host.listed == {"s-0", "s-1"}
+            again.writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            monkeypatch.setattr(discovery, "GAP_S", 5.0)
+            for piece in (body[:10], body[10:20], body[20:]):  # one that is slow, but goes on
+                again.writer.write(piece)
+                await asyncio.sleep(0.02)
+            await sidecar.discovery.next()
+            assert sidecar.host.listed == {"s-0"}
+
+    run(test())
+
+
 def test_pushed_lists_are_watched_without_the_module_asking() -> None:
     async def test() -> None:
         async with Sidecar(Discovery="push") as sidecar:
