Halve the memory for bodies where two processes may live, and end closes that hang

Where the socket is inherited two processes share one sidecar's memory, as the design has it: each takes half for bodies from the start. A connection that was closed while its last bytes could not leave stayed for good; it ends after the stall's time now, too. Framing looks only at names of the right length, since every message passes it.

--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -100,12 +100,15 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # What two processes hold in an upgrade counts as one sidecar's. Bodies in memory can't be given up when
+    # the other one comes, so where there may be one their part is half from the start.
+    memory = config.memory // 2 if inherited else config.memory
     spare = MOST + OWN_DESCRIPTORS if config.management else 0
     sockets = max(1, config.sockets - spare)
-    host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)))
+    host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)), memory)
     loop.add_signal_handler(signal.SIGHUP, reload, host)
     callers = max(1, int(CALLERS_SHARE * sockets))
-    server = Server(host, callers, most_kept(config.memory, callers))
+    server = Server(host, callers, most_kept(memory, callers))
     await server.bind(config.listen.host, config.listen.port, inherited)
     if config.management:
         management = Management(server.lifecycle, host.figure_lines)
--- a/eiderhub/sidecar/bodies.py
+++ b/eiderhub/sidecar/bodies.py
@@ -30,6 +30,8 @@
     """The framing that the headers state; the parser has seen to contradictions between them."""
     length, chunked = None, False
     for name, value in headers:
+        if len(name) not in (14, 17):  # this is on the way of every message
+            continue
         key = name.lower()
         if key == b"content-length":
             length = int(value)
--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -227,7 +227,7 @@
         if (length or 0) > MOST_BODY:
             self._fault(Rejected(413, "the body is too long"))
         incoming.expects = incoming.http_1_1 and any(
-            name.lower() == b"expect" and value.lower() == b"100-continue"
+            len(name) == 6 and name.lower() == b"expect" and value.lower() == b"100-continue"
             for name, value in incoming.headers
         )
         if incoming.expects and self.current is None and not self.waiting:
@@ -307,7 +307,7 @@
 
     def make_way(self) -> None:
         self.ended = True
-        if self.congested:
+        if self.transport.get_write_buffer_size():
             self.transport.abort()
         else:
             self.transport.close()
@@ -446,6 +446,7 @@
             asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
         else:
             self.ended = True
+            self.blocked_since_us = now_us()  # the last bytes may not leave for as long as they like, either
             self.transport.close()
 
     def look_after(self, now: int) -> None:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -85,7 +85,7 @@
 class Host:
     """Implements the module's `Actions` and feeds its `Events`."""
 
-    def __init__(self, config: Config, most: int) -> None:
+    def __init__(self, config: Config, most: int, memory: int) -> None:
         settings = config.settings
         self.settings = settings
         self.figures = Figures(c.name for c in settings.classes)
@@ -98,7 +98,7 @@
             settings.limits.connect_timeout_us,
             most,
             self.figures,
-            most_kept(config.memory, most),
+            most_kept(memory, most),
         )
         self.watcher = Watcher(
             config.discovery.host,
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -217,7 +217,7 @@
             known=read_listing(json.loads(listing(1, True, *rows))),
             settings=settings_from(self.setup),
         )
-        self.host = Host(self.config, max(1, int(UPSTREAM_SHARE * self.sockets)))
+        self.host = Host(self.config, max(1, int(UPSTREAM_SHARE * self.sockets)), self.config.memory)
         self.sweep = asyncio.create_task(self.host.upstream.sweep())
         self.server = Server(self.host, self.callers)
         await self.server.bind("127.0.0.1", 0)
