Start a successor with what the process in service has learned

Evidence: after each start the state lines show caps of 6 to 7 and 'timeout 16', 8 and 18 in five seconds: one of four endpoints hangs, and every process sends it the same dozen calls before it is ejected.

At fault: nothing passed from one process to the next. The module tells what a successor should know and what to make of it; handover.py carries it in one file in TMPDIR, checked, and read only beside a process in service.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -22,9 +22,12 @@
     Discovery,
     Effect,
     Endpoint,
+    EndpointMemory,
     Group,
     ListForm,
+    Memory,
     Outcome,
+    PoolMemory,
     Readiness,
     RequestClass,
     Settings,
@@ -138,6 +141,8 @@
 ASK_BACKOFF_MAX_US = 8_000_000
 SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
 
+SAME_START_US = 1_000_000  # processes that convert a stated start to their own clocks differ by less
+
 STATE_EVERY_US = 5_000_000  # the state is logged so often, while calls come
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
@@ -331,6 +336,13 @@
         self.cap = max(self.cap * fair / self.part if self.part else START_CALLS * fair, self.floor)
         self.part = fair
 
+    def recall(self, told: PoolMemory) -> None:
+        """Start with what was learned, scaled to the present part."""
+        if told.base and told.part and self.part:
+            self.cap = max(self.floor, told.cap * self.part / told.part)
+            self.base, self.median = told.base, told.median
+            self.opening = False
+
     def room(self, scarcity: float) -> float:
         """The calls that may be out at one moment, while the cap bounds their mean.
 
@@ -781,6 +793,39 @@
             if not e.ready or e.on_trial or now_us < max(e.rests_until, e.ejected_until)
         ]
 
+    def learned(self, now_us: int) -> Memory:
+        """What a successor should know; reading it changes nothing."""
+        limits = [pool.limit for placement in self.placements for pool in placement.pools]
+        return Memory(
+            [PoolMemory(limit.part, limit.cap, limit.base, limit.median) for limit in limits],
+            [
+                EndpointMemory(
+                    e.id, e.launched, e.failing, e.slow, (e.ejected_until - now_us or -1) if e.on_trial else 0
+                )
+                for e in self.endpoints.values()
+                if e.ready and (e.on_trial or e.slow or e.failing)
+            ],
+        )
+
+    def recall(self, now_us: int, memory: Memory) -> None:
+        """Start with what another process learned in our place; comes after the first list.
+
+        Danger: a process that knows nothing sends an endpoint that hangs as many calls as the one before it
+        did, and refuses for seconds what its caps have not learned to let through: at each upgrade.
+        """
+        limits = [pool.limit for placement in self.placements for pool in placement.pools]
+        for limit, pool in zip(limits, memory.pools, strict=False):
+            limit.recall(pool)
+        for told in memory.endpoints:
+            e = self.endpoints.get(told.id)
+            if e is None or abs(e.launched - told.launched_us) > SAME_START_US:
+                continue
+            e.failing, e.slow = told.failing, told.slow
+            if told.ejected_us:
+                e.on_trial, e.ejections = True, 1
+                e.ejected_until = now_us + max(0, min(told.ejected_us, EJECT_MAX_US))
+                self.ejected.append(e)
+
     # --- requests ---
 
     def order(
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -199,6 +199,32 @@
         _require(self.over_share_worth >= 0, "over_share_worth", "must not be negative")
 
 
+class PoolMemory(NamedTuple):
+    """What was learned of one pool of endpoints."""
+
+    part: float  # of the endpoints' capacity that the cap holds for
+    cap: float
+    base: float
+    median: float
+
+
+class EndpointMemory(NamedTuple):
+    """What was learned of one endpoint that is not as it should be."""
+
+    id: str
+    launched_us: int
+    failing: float
+    slow: float
+    ejected_us: int  # for so long still; below 0: it is on trial
+
+
+class Memory(NamedTuple):
+    """What a process that takes over from another may start with."""
+
+    pools: list[PoolMemory]
+    endpoints: list[EndpointMemory]
+
+
 class Actions(Protocol):
     """What an instance may ask of its host, each taking effect at once."""
 
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import gc
+import itertools
 import logging
 import os
 import signal
@@ -16,7 +17,7 @@
 from eiderhub.sidecar.bodies import most_kept
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
-from eiderhub.sidecar.handover import Presence, inherited_socket
+from eiderhub.sidecar.handover import Presence, inherited_socket, recollect, remember
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.lifecycle import FLUSH_S, Lifecycle
 from eiderhub.sidecar.management import MOST, OWN_DESCRIPTORS, Management
@@ -27,6 +28,7 @@
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
 AFTER_LONGEST_S = 0.4  # so that everything is answered by then
 SHARE_EVERY_S = 0.1  # how often we look for other processes of this sidecar
+REMEMBER_TURNS = 5  # of these: how often what was learned is written down
 FIRST_LIST_S = 2.0  # how long a process beside another waits for a list before it serves all the same
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
@@ -75,10 +77,13 @@
     await asyncio.sleep(FLUSH_S)
 
 
-async def share(presence: Presence, server: Server, host: Host, sockets: int) -> None:
-    """Keep to our part of the descriptors while other processes of this sidecar live."""
-    while True:
-        part = sockets / (1 + presence.others())
+async def share(presence: Presence, server: Server, host: Host, sockets: int, directory: str | None) -> None:
+    """Keep to our part of the descriptors while others of this sidecar live; tell them what we know."""
+    for turn in itertools.count():
+        others = presence.others()
+        part = sockets / (1 + others)
+        if directory and not others and not turn % REMEMBER_TURNS:
+            remember(directory, host.balancer.learned(now_us()))
         server.most = max(1, int(CALLERS_SHARE * part))
         host.upstream.limit(max(1, int(UPSTREAM_SHARE * part)))
         await asyncio.sleep(SHARE_EVERY_S)
@@ -95,7 +100,8 @@
     host.watcher.move(address.host, address.port)
 
 
-async def serve(config: Config, inherited: socket.socket | None, presence: Presence) -> None:
+async def serve(config: Config, inherited: socket.socket | None, directory: str | None) -> None:
+    presence = Presence(directory)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -118,7 +124,10 @@
     chores += [server.watch_callers(), server.report()]
     if inherited:
         presence.enter()
-        chores.append(share(presence, server, host, sockets))
+        if directory and presence.others() and (memory_of_old := recollect(directory)) is not None:
+            host.balancer.recall(now_us(), memory_of_old)
+            log.info("%s starts with what the process in service has learned", config.name)
+        chores.append(share(presence, server, host, sockets, directory))
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
     gc.collect()
@@ -145,7 +154,7 @@
     try:
         config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config, inherited_socket(os.environ), Presence(os.environ.get("TMPDIR"))))
+            runner.run(serve(config, inherited_socket(os.environ), os.environ.get("TMPDIR")))
     except (ConfigError, OSError) as error:
         print(f"eiderhub.sidecar: {error}", file=sys.stderr)
         return 1
--- a/eiderhub/sidecar/handover.py
+++ b/eiderhub/sidecar/handover.py
@@ -1,16 +1,28 @@
-"""An upgrade: two processes of one sidecar beside each other, with one listening socket between them."""
+"""An upgrade: two processes of one sidecar beside each other, with one listening socket between them.
+
+In the directory that they share stand locks, which tell who lives, and one file with what the module in
+service has learned. Nothing there is needed, and nothing that is stale or damaged does harm.
+"""
 
 from __future__ import annotations
 
 import fcntl
+import json
+import math
 import os
 import socket
 from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
+from eiderhub.interface import EndpointMemory, Memory, PoolMemory
+from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import ConfigError
 
 PREFIX = "eiderhub-live-"
+LEARNED = "eiderhub-learned.json"
+FRESH_US = 10_000_000  # what was learned longer ago says little of now
+MOST_BYTES = 1 << 20
 
 
 def inherited_socket(environ: Mapping[str, str]) -> socket.socket | None:
@@ -84,3 +96,44 @@
         finally:
             os.close(found)
         return False
+
+
+def remember(directory: str, memory: Memory) -> None:
+    """Write what the module has learned, for a successor that may come; a rename keeps it whole."""
+    path = Path(directory) / LEARNED
+    beside = path.with_suffix(f".{os.getpid()}")
+    # Not UTC: the machine's monotonic clock is common to its processes, and never set.
+    document = {"at_us": now_us(), "pools": memory.pools, "endpoints": memory.endpoints}
+    try:
+        beside.write_text(json.dumps(document), encoding="utf-8")
+        beside.replace(path)
+    except OSError:
+        beside.unlink(missing_ok=True)
+
+
+def recollect(directory: str) -> Memory | None:
+    """What the process in service has learned, or nothing where that can't be told for sure."""
+    try:
+        with (Path(directory) / LEARNED).open("rb") as file:
+            document = json.loads(file.read(MOST_BYTES))
+        if not 0 <= now_us() - int(document["at_us"]) <= FRESH_US:
+            return None
+        return Memory(
+            [PoolMemory(*(_figure(value) for value in row)) for row in document["pools"]],
+            [_endpoint(*row) for row in document["endpoints"]],
+        )
+    except (OSError, ValueError, TypeError, KeyError, OverflowError, RecursionError):
+        return None
+
+
+def _figure(value: Any) -> float:
+    figure = float(value)
+    if not 0 <= figure <= 1e6 or math.isnan(figure):
+        raise ValueError("out of range")
+    return figure
+
+
+def _endpoint(name: Any, launched_us: Any, failing: Any, slow: Any, ejected_us: Any) -> EndpointMemory:
+    return EndpointMemory(
+        str(name), int(launched_us), min(1.0, _figure(failing)), _figure(slow), int(ejected_us)
+    )
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -612,3 +612,35 @@
     assert len(lines) == 1
     assert lines[0].startswith("given up: held too long 2, sojourn 1; held 0, ratio 1.00")
     assert "near 4 endpoints, cap 6.0" in lines[0]
+
+
+def test_successor_starts_with_caps_and_ejections_of_the_process_before_it() -> None:
+    """Found on the operators' days: at each upgrade a dozen calls went to an endpoint that hangs."""
+    first = Host(settings(balancers=1), endpoints(4))
+    limit = first.balancer.placements[0].local.limit
+    limit.cap, limit.base, limit.median = 40.0, 0.1, 0.15
+    silent = endpoints(1)[0].id
+    for _ in range(30):
+        call = first.order("look")
+        first.advance(50 * MS)
+        outcome = Outcome.TIMEOUT if first.sent[call][-1] == silent else Outcome.OK
+        first.reply(call, outcome, spent=50 * MS)
+        if silent in first.balancer.hosts_down(first.now):
+            break
+    assert first.balancer.hosts_down(first.now) == [silent]
+    told = first.balancer.learned(first.now)
+    assert first.balancer.learned(first.now) == told  # reading changes nothing
+
+    second = Host(settings(balancers=1), endpoints(2))  # and two of the endpoints have gone meanwhile
+    second.balancer.recall(second.now, told)
+    own = second.balancer.placements[0].local.limit
+    assert own.cap == pytest.approx(20.0)
+    assert (own.base, own.opening) == (limit.base, False)
+    assert second.balancer.hosts_down(second.now) == [silent]
+    calls = [second.order("look") for _ in range(5)]
+    assert all(silent not in second.sent[call] for call in calls)
+
+    restarted = [entry._replace(launched_us=5_000_000) for entry in endpoints(2)]
+    third = Host(settings(balancers=1), restarted)
+    third.balancer.recall(third.now, told)
+    assert third.balancer.hosts_down(third.now) == []
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,8 +13,11 @@
 
 import pytest
 
+from eiderhub.interface import EndpointMemory, Memory, PoolMemory
+from eiderhub.sidecar import handover
+from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import ConfigError
-from eiderhub.sidecar.handover import PREFIX, Presence, inherited_socket
+from eiderhub.sidecar.handover import LEARNED, PREFIX, Presence, inherited_socket, recollect, remember
 from tests.sidecar_support import SETUP, Client, Fake, listing, row, run
 
 
@@ -45,6 +48,43 @@
         assert lost.others() == 0
 
 
+KNOWN = Memory([PoolMemory(1.0, 12.5, 0.2, 0.25)], [EndpointMemory("s-0", 7, 0.5, 1.5, -3)])
+
+
+def test_what_was_learned_is_read_as_it_was_written(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    remember(str(tmp_path), KNOWN)
+    assert recollect(str(tmp_path)) == KNOWN
+    assert [path.name for path in tmp_path.iterdir()] == [LEARNED]
+    remember(str(tmp_path / "missing"), KNOWN)  # which costs nothing
+    assert recollect(str(tmp_path / "missing")) is None
+    written = now_us()
+    for later, known in ((9_000_000, True), (11_000_000, False), (-1_000_000, False)):
+        monkeypatch.setattr(handover, "now_us", lambda later=later: written + later)
+        assert (recollect(str(tmp_path)) is not None) is known
+
+
+@pytest.mark.parametrize(
+    "damage",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b"[" * 100_000,
+        b'{"at_us": %d}',
+        b'{"at_us": %d, "pools": [[1, 2, 3]], "endpoints": []}',
+        b'{"at_us": %d, "pools": [[1, NaN, 3, 4]], "endpoints": []}',
+        b'{"at_us": %d, "pools": [[1, -2, 3, 4]], "endpoints": []}',
+        b'{"at_us": %d, "pools": [[1, Infinity, 3, 4]], "endpoints": []}',
+        b'{"at_us": %d, "pools": [], "endpoints": [["s", 1, 0, 0, Infinity]]}',
+        b'{"at_us": %d, "pools": [], "endpoints": 7}',
+        b'{"at_us": "soon", "pools": [], "endpoints": []}',
+    ],
+)
+def test_damaged_memory_is_none(tmp_path: Path, damage: bytes) -> None:
+    (tmp_path / LEARNED).write_bytes(damage.replace(b"%d", b"%d" % now_us()))
+    assert recollect(str(tmp_path)) is None
+
+
 def start(tmp_path: Path, listening: socket.socket, management: int, known: bytes) -> subprocess.Popen[str]:
     path = tmp_path / f"config-{management}.json"
     listen = f"127.0.0.1:{listening.getsockname()[1]}"
