--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -171,6 +171,16 @@
                 fresh.send()
                 (await fake.next()).reply()
                 assert (await fresh.answer()).status == 200
+                fresh.writer.close()
+                new.send_signal(signal.SIGTERM)
+                while await status(ports[1]) != b"ERR stopping\n":
+                    await asyncio.sleep(0.01)
+                late = Client(*await asyncio.open_connection(*address))  # nobody else would take it
+                late.send()
+                (await fake.next()).reply()
+                assert (await late.answer()).status == 200
+                late.writer.close()
+                assert await asyncio.to_thread(new.wait) == 0
             finally:
                 for process in (old, new):
                     if process is not None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from eiderhub.sidecar import __main__ as program
 from eiderhub.sidecar import lifecycle
 from eiderhub.sidecar import management as managing
 from eiderhub.sidecar.management import MOST, MOST_LINE, Management
-from tests.sidecar_support import Client, Sidecar, run
+from tests.sidecar_support import Client, Sidecar, listing, row, run
 
 
 class Managed(Sidecar):
@@ -195,6 +196,32 @@
     run(test())
 
 
+def test_what_ends_while_draining_is_counted_and_lists_show_in_the_figures(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", 0.02)
+    monkeypatch.setattr(program, "LONGEST_S", 0.1)
+    monkeypatch.setattr(program, "AFTER_LONGEST_S", 0.1)
+
+    async def test() -> None:
+        async with Managed(endpoints=3) as sidecar:
+            rows = [row(f"s-{i}", fake.address) for i, fake in enumerate(sidecar.endpoints)]
+            rows[1]["lifecycle"], rows[2]["lifecycle"] = "draining", "gone"
+            (await sidecar.discovery.next()).reply(200, listing(2, False, *rows))
+            await sidecar.discovery.next()
+            told = await sidecar.stats()
+            assert (told["svc.hosts_listed"], told["svc.hosts_down"]) == (2, 1)
+            client = await sidecar.client()
+            client.send("pay", deadline_ms=60_000)
+            await sidecar.endpoints[0].next()
+            await program.drain(sidecar.server.lifecycle, sidecar.server, sidecar.host)
+            assert (await client.answer()).status == 504
+            told = await sidecar.stats()
+            assert (told["svc.calls.pay.failure"], told["svc.inflight"]) == (1, 0)
+
+    run(test())
+
+
 async def up(client: Client) -> tuple[int, bool]:
     client.writer.write(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
     answer = await client.answer()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -24,6 +24,7 @@
 from eiderhub.sidecar import host as hosting
 from eiderhub.sidecar.bodies import Source
 from eiderhub.sidecar.clock import Alarm, now_us
+from eiderhub.sidecar.config import Address, load
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.host import Request
@@ -902,6 +903,8 @@
         ({"settings": SETUP, "seed": "xyz"}, "seed"),
         ({"settings": SETUP, "known": {"instances": 3}}, "known"),
         ({"settings": SETUP, "limits": {"sockets": 0}}, "limits.sockets"),
+        ({"settings": SETUP, "limits": {"memory_mb": -1}}, "limits.memory_mb"),
+        ({"settings": SETUP, "management": "nowhere"}, "GW_MANAGEMENT"),
     ],
 )
 def test_bad_configuration_ends_with_one_plain_line(
@@ -914,14 +917,26 @@
     assert reason in said
 
 
-def test_address_in_use_ends_with_one_plain_line(tmp_path: Path) -> None:
+@pytest.mark.parametrize("key", ["listen", "management"])
+def test_address_in_use_ends_with_one_plain_line(tmp_path: Path, key: str) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
-        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
         test_bad_configuration_ends_with_one_plain_line(
-            tmp_path, {"settings": SETUP, "listen": listen}, "address already in use"
+            tmp_path, {"settings": SETUP, key: address}, "address already in use"
         )
 
 
+def test_variable_stands_above_the_file_and_neither_means_no_listener(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    document = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1", "settings": SETUP}
+    path.write_text(json.dumps(document), encoding="utf-8")
+    assert load({"GW_CONFIG": str(path)}).management is None
+    path.write_text(json.dumps({**document, "management": "127.0.0.1:3"}), encoding="utf-8")
+    assert load({"GW_CONFIG": str(path)}).management == Address("127.0.0.1", 3)
+    told = load({"GW_CONFIG": str(path), "GW_MANAGEMENT": "127.0.0.1:4"})
+    assert told.management == Address("127.0.0.1", 4)
+
+
 def test_sigterm_answers_what_was_taken_still_accepts_and_exits_with_0(tmp_path: Path) -> None:
     async def test() -> None:
         fake = await Fake().start()
