Play a deployment on loopback: the world's state machines, and the emulator around real sidecars

Endpoints, network, discovery, clients, front and judge are state machines that are told the time; scenarios are TOML files read into msgspec structs, with every fault named by its path. The emulator gives each endpoint an address for each sidecar, starts sidecars by posix_spawn with the platform's variables, and measures its own lateness.

--- /dev/null
+++ b/eiderhub/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""The world on real loopback sockets, around real sidecar processes."""
--- /dev/null
+++ b/eiderhub/emulator/callers.py
@@ -0,0 +1,196 @@
+"""Who asks sidecars: outside clients by way of the front, and endpoints of a tier for the next one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from eiderhub.emulator.clock import Clock
+from eiderhub.emulator.http import Pool, Reply, Ticket
+from eiderhub.emulator.machines import Job, Jobs
+from eiderhub.interface import Effect
+from eiderhub.world.clients import End, Errand, patience_us, retry_us
+from eiderhub.world.day import Day, Post
+from eiderhub.world.front import Front
+from eiderhub.world.judge import Fate, Judge
+
+BODY = b"x" * 200  # of a request
+
+
+def render(name: str, job: Job, patience_us: int, repeat: bool) -> bytes:
+    """A request as PROTOCOL has it."""
+    idempotent = job.grade.spec.effect is Effect.IDEMPOTENT
+    lines = [
+        f"{'GET' if idempotent else 'POST'} /{job.grade.name} HTTP/1.1",
+        "Host: service.internal",
+        f"Req-Id: {name}",
+        f"Req-Deadline-Ms: {max(1, patience_us // 1000)}",
+    ]
+    if job.tenant is not None:
+        lines.append(f"Req-Owner: {job.tenant}")
+    if job.key is not None:
+        lines.append(f"Idempotency-Key: {job.key}")
+    if repeat:
+        lines.append("Req-Retry: 1")
+    if not idempotent:
+        lines.append(f"Content-Length: {len(BODY)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (b"" if idempotent else BODY)
+
+
+class Target:
+    """One sidecar, as its callers see it."""
+
+    def __init__(self, post: Post, host: str, port: int) -> None:
+        self.post = post
+        self.pool = Pool(host, port)
+        self.killed = False  # its last process was killed: what it held is nobody's fault
+
+
+class Try:
+    """One request to one sidecar, from its sending to its end."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        judge: Judge,
+        jobs: Jobs,
+        target: Target,
+        job: Job,
+        patience_us: int,
+        repeat: bool,
+        on_end: Callable[[End, int], None],
+    ) -> None:
+        self._clock = clock
+        self._judge = judge
+        self._jobs = jobs
+        self._target = target
+        self._job = job
+        self._on_end = on_end
+        self._resent = False
+        self._written = False
+        self._over = False
+        self._until_us = clock.now_us() + patience_us
+        self.name = jobs.new(job)
+        self._data = render(self.name, job, patience_us, repeat)
+        self._alarm = clock.at(self._until_us, self._give_up)
+        self._ticket: Ticket = target.pool.ask(self._data, self)
+
+    def _end(self, end: End, retry_after_us: int = 0) -> None:
+        if not self._over:
+            self._over = True
+            self._alarm.cancel()
+            self._on_end(end, retry_after_us)
+
+    def _give_up(self) -> None:
+        """The time for this try is over: its caller closes the connection and goes."""
+        self._hang_up()
+        self._end(End.GIVEN_UP)
+
+    def drop(self) -> None:
+        """Nobody waits for it any more, and nobody is told of its end."""
+        self._over = True
+        self._alarm.cancel()
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        self._ticket.drop()
+        if self._written:
+            self._judge.gave_up(self.name)
+
+    # --- what the connection tells ---
+
+    def on_written(self) -> None:
+        self._written = True
+        self._judge.taken(self.name, self._target.post.name, self._job.grade)
+
+    def on_reply(self, reply: Reply) -> None:
+        produced = self._jobs.was_produced(self.name, reply.body)
+        self._judge.answered(self._clock.now_us(), self.name, reply.status, produced)
+        if reply.status == 200 and produced:
+            self._end(End.SERVED)
+        elif reply.status in (429, 503):
+            self._end(End.REFUSED, reply.retry_after_us)
+        else:
+            self._end(End.FAILED)
+
+    def on_broken(self, first: bool) -> None:
+        now = self._clock.now_us()
+        fate = self._judge.cut_short(now, self.name, first, self._target.killed)
+        if fate is Fate.UNREAD and not self._resent and now < self._until_us:
+            # It crossed the close: sent once more, with the time that is left to it.
+            self._resent = True
+            asyncio.get_running_loop().call_soon(self._resend)
+        else:
+            self._end(End.BROKEN)
+
+    def _resend(self) -> None:
+        if not self._over:
+            self._ticket = self._target.pool.ask(self._data, self, fresh=True)
+
+    def on_unreachable(self) -> None:
+        self._end(End.UNREACHABLE)
+
+
+class Outside:
+    """The outside clients: each errand is carried through its tries."""
+
+    def __init__(
+        self,
+        day: Day,
+        clock: Clock,
+        judge: Judge,
+        jobs: Jobs,
+        front: Front,
+        targets: dict[str, Target],
+    ) -> None:
+        self._day = day
+        self._clock = clock
+        self._judge = judge
+        self._jobs = jobs
+        self._front = front
+        self._targets = targets
+        self.open: set[Errand] = set()
+        self.tries: dict[Errand, Try] = {}
+        self.ended = 0
+        self.served = 0
+
+    def begin(self, errand: Errand) -> None:
+        self.open.add(errand)
+        self._judge.asked(errand)
+        self._next(errand)
+
+    def _kept(self, name: str) -> bool:
+        return bool(self._targets[name].pool.idle)
+
+    def _next(self, errand: Errand) -> None:
+        now = self._clock.now_us()
+        errand.tries += 1
+        name = self._front.choose(now, errand.zone, self._kept)
+        patience = patience_us(self._day, errand, now)
+        if name is None:
+            self._ended(errand, End.UNREACHABLE, 0)
+            return
+        job = Job(errand.grade, errand.work_us, errand.tenant, errand.key, now + patience)
+        self.tries[errand] = Try(
+            self._clock,
+            self._judge,
+            self._jobs,
+            self._targets[name],
+            job,
+            patience,
+            errand.tries > 1 and self._day.scenario.clients.marks_retry,
+            lambda end, retry_after_us: self._ended(errand, end, retry_after_us),
+        )
+
+    def _ended(self, errand: Errand, end: End, retry_after_us: int) -> None:
+        now = self._clock.now_us()
+        self.tries.pop(errand, None)
+        errand.ends.append(end)
+        at = retry_us(self._day, errand, now, end, retry_after_us)
+        if at is not None:
+            self._clock.at(at, self._next, errand)
+            return
+        errand.ended_us, errand.end = now, end
+        self.open.discard(errand)
+        self.ended += 1
+        self.served += errand.served
--- /dev/null
+++ b/eiderhub/emulator/settings.py
@@ -0,0 +1,81 @@
+"""What a day's sidecars are told: the settings object of WIRE, made from the scenario."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from eiderhub.world.day import Day, Post
+
+
+def settings_of(day: Day, post: Post) -> dict[str, Any]:
+    """Times in microseconds, names as the platform's JSON has them."""
+    scenario = day.scenario
+    allowed, rules, goal = scenario.allowed, scenario.rules, scenario.goal
+    kinds = [kind.name for kind in scenario.tier[post.tier].kind]
+    return {
+        "Allowed": {
+            "ConnIdleUs": int(allowed.idle_s * 1e6),
+            "ConnectTimeoutUs": int(allowed.connect_timeout_ms * 1000),
+            "CpuUsPerRequest": 0.0,
+            "CpuUsPerS": 500_000,
+            "MaxAttempts": allowed.max_attempts,
+            "MaxOpen": 20_000,
+            "MaxRetryAfterUs": int(allowed.max_retry_after_ms * 1000),
+            "MayCancel": True,
+            "Multiplex": 1,
+            "Peers": False,
+            "Probing": False,
+            "RetryAfter": allowed.retry_after,
+            "SecondCopies": allowed.second_copies,
+        },
+        "Balancers": post.peers,
+        "Categories": [
+            {
+                "AimUs": grade.aim_us,
+                "Credit": grade.spec.worth,
+                "DeadlineUs": grade.deadline_us,
+                "DedupWindowUs": int(grade.spec.window_ms * 1000),
+                "Effect": grade.spec.effect.value,
+                "Group": grade.spec.group.value,
+                "LateShare": grade.spec.late_worth,
+                "Name": grade.name,
+                "Streaming": False,
+            }
+            for grade in day.grades
+        ],
+        "Charges": {"CrossZone": goal.cross_zone, "LateFail": goal.late_fail, "Waste": goal.waste},
+        "Clients": {"MarksRetry": scenario.clients.marks_retry},
+        "Discovery": scenario.discovery.mode,
+        "Family": "chain",
+        "FamilyInfo": {"PassesDeadline": True},
+        "Goal": {
+            "Whole": goal.whole,
+            "WorstClass": goal.worst_class,
+            "WorstTenant": goal.worst_tenant,
+            "WorstWindow": goal.worst_window,
+        },
+        "Kinds": kinds,
+        "Layer": post.tier,
+        "Localities": scenario.zones,
+        "MyZone": post.zone,
+        "OverShareWorth": goal.over_share_worth,
+        "Parties": [
+            {"Name": party.name, "QuotaPerS": party.quota_per_s, "Share": party.share}
+            for party in day.parties
+        ],
+        "Rank": post.rank,
+        "Report": {"Fields": [], "How": "none"},
+        "Rules": {
+            "AnswerSlackUs": int(rules.answer_slack_ms * 1000),
+            "AskEveryUs": int(rules.ask_every_s * 1e6),
+            "ColdFrom": rules.cold_from,
+            "ColdUs": int(rules.cold_s * 1e6),
+            "DrainGraceUs": int(rules.drain_grace_ms * 1000),
+            "FallUs": int(rules.fall_ms * 1000),
+            "OverloadFactor": rules.overload_factor,
+        },
+        "StepUs": 5000,
+        "Tiers": [tier.name for tier in scenario.tier],
+        "Weights": "none",
+        "WorthBy": "request",
+    }
