--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -24,12 +24,9 @@
     framing,
 )
 from eiderhub.sidecar.clock import now_us
-from eiderhub.sidecar.host import Request
+from eiderhub.sidecar.host import Host, Request
 from eiderhub.sidecar.upstream import HOP_BY_HOP, Response
 
-if TYPE_CHECKING:
-    from eiderhub.sidecar.server import Server
-
 MAX_HEAD = 16 * 1024
 READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
 BODY_S = 1.5  # after a head that took long, for the body to begin
@@ -68,12 +65,40 @@
         self.fault = fault
 
 
+class Reception(Protocol):
+    """Where callers arrive: what is common to their connections, and which requests are taken."""
+
+    host: Host
+    most_kept: int  # of a body, in either direction
+    closing: bool  # each answer is the last of its connection
+    open_ids: set[bytes]  # requests that have no answer yet
+
+    def joined(self, caller: CallerConnection) -> None: ...
+
+    def served(self, caller: CallerConnection) -> None:
+        """An answer has been given on this connection."""
+
+    def left(self, caller: CallerConnection) -> None: ...
+
+    def forget(self, request_id: bytes) -> None:
+        """A request is over."""
+
+    def count(self, what: str) -> None:
+        """Callers were turned away for this."""
+
+    def check(self, incoming: Incoming) -> None:
+        """Raise what is wrong with a request whose body is still to come."""
+
+    def admit(self, caller: CallerConnection, incoming: Incoming) -> Request | None:
+        """The request to take, or None where it is answered already."""
+
+
 class CallerConnection(asyncio.BufferedProtocol):
     """One caller's connection: requests are served one after another."""
 
     _buffer = bytearray(READ_SIZE)  # for all: what is read is dealt with at once
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Reception) -> None:
         self.server = server
         self.current: Request | None = None
         self.waiting: list[Incoming] = []  # came before the answer to the one before
