Read settings and configuration into msgspec structs, and log by structlog

One set of structs serves the wire, the platform's JSON and TOML for people; the checks made by hand in settings.py, config.py and discovery.py go. Every fault is named by file and path of the key; a wrong configuration ends the start with status 2, an address in use with 1, as before.

--- a/eiderhub/reading.py
+++ b/eiderhub/reading.py
@@ -138,11 +138,16 @@
         items = next((k for k in kinds if typing.get_origin(k) is list), None)
         if items is not None and isinstance(value, list):
             (item,) = typing.get_args(items)
+            for bounds in (m for m in typing.get_args(kind) if isinstance(m, msgspec.Meta)):
+                try:
+                    msgspec.convert(value, typing.Annotated[list[Any], bounds])
+                except msgspec.ValidationError as error:
+                    self._fault(path, _why(error))
             return [self.take(each, item, f"{path}[{i}]") for i, each in enumerate(value)]
         try:
             msgspec.convert(value, kind)
         except msgspec.ValidationError as error:
-            self._fault(path, _worded(value, kinds, error))
+            self._fault(path, _worded(value, kind, error))
         return value
 
     def _struct(self, value: Any, struct: type[msgspec.Struct], path: str) -> Any:
@@ -180,7 +185,21 @@
     return [kind]
 
 
-def _worded(value: Any, kinds: list[Any], error: msgspec.ValidationError) -> str:
+def _described(kind: Any) -> str | None:
+    """What the type's own annotation says that its values are."""
+    for member in typing.get_args(kind):
+        if isinstance(member, msgspec.Meta) and member.description:
+            return member.description
+        if (below := _described(member)) is not None:
+            return below
+    return None
+
+
+def _worded(value: Any, kind: Any, error: msgspec.ValidationError) -> str:
+    kinds = _alternatives(kind)
+    described = _described(kind)
+    if described is not None:
+        return f"must be {described}; it is {value!r}"[:200]
     choices = next((k for k in kinds if isinstance(k, type) and issubclass(k, enum.Enum)), None)
     if choices is not None:
         known = [str(each.value) for each in choices]
--- a/eiderhub/settings.py
+++ b/eiderhub/settings.py
@@ -1,9 +1,14 @@
-"""Reads the settings object that a host is given for an instance: the wire adapter and the sidecar alike."""
+"""The settings object that a host is given for an instance, on the wire and in a configuration file alike.
+
+Each struct has the platform's names as encoded names and people's as attributes; `Setup.settings` makes of
+them what the module works with. Names and units: WIRE, "Start-up settings".
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+from typing import Annotated, Any
+
+from msgspec import Meta, Struct, field
 
 from eiderhub.interface import (
     Discovery,
@@ -17,169 +22,167 @@
     Settings,
     Tenant,
 )
+from eiderhub.reading import convert
 
-BY_WORTH = ("Whole", "WorstWindow", "WorstTenant", "Availability")  # parts of `Goal` that add up worth
-BY_CLASS = ("WorstClass", "Tail")  # and those that look at each class alone
+Name = Annotated[str, Meta(min_length=1)]
+Time = Annotated[int, Meta(gt=0)]  # microseconds
+TimeOrNone = Annotated[int, Meta(ge=0)]
+Figure = Annotated[float, Meta(ge=0)]
+Part = Annotated[float, Meta(ge=0, le=1)]
 
 
-def _get(table: Any, key: str, kind: type | tuple[type, ...], where: str, default: Any = None) -> Any:
-    """A checked value of a settings table; without a default it is required."""
-    if not isinstance(table, dict):
-        raise ValueError(f"{where.rstrip('.')}: must be an object")
-    value = table.get(key)
-    if value is None:
-        if default is None:
-            raise ValueError(f"{where}{key}: missing")
-        return default
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise ValueError(f"{where}{key}: impossible value {value!r}")
-    return value
+class Category(Struct, rename="pascal", frozen=True, kw_only=True):
+    """A class of requests."""
 
+    name: Name
+    aim_us: Time
+    deadline_us: Time
+    effect: Effect
+    group: Group | None = None
+    dedup_window_us: TimeOrNone | None = None
+    credit: Figure = 1.0
+    late_share: Part = 0.0
+    streaming: bool = False
+    stays_in: list[str] | None = None  # zones; an empty list allows nothing
+    served_on: list[str] | None = None  # kinds of machine
 
-def _choice(enum: type[Any], table: Any, key: str, where: str, default: str | None = None) -> Any:
-    value = _get(table, key, str, where, default)
-    try:
-        return enum(value)
-    except ValueError:
-        raise ValueError(f"{where}{key}: impossible value {value!r}") from None
+    def __post_init__(self) -> None:
+        if self.effect is Effect.DEDUPLICATED and (self.group is None or self.dedup_window_us is None):
+            raise ValueError("a deduplicated class needs Group (group) and DedupWindowUs (dedup_window_us)")
 
+    def request_class(self) -> RequestClass:
+        return RequestClass(
+            name=self.name,
+            aim_us=self.aim_us,
+            deadline_us=self.deadline_us,
+            effect=self.effect,
+            group=self.group or Group.ALL,
+            dedup_window_us=self.dedup_window_us or 0,
+            credit=self.credit,
+            late_share=self.late_share,
+            streaming=self.streaming,
+            stays_in=None if self.stays_in is None else frozenset(self.stays_in),
+            served_on=None if self.served_on is None else frozenset(self.served_on),
+        )
 
-def _names(table: Any, key: str, where: str) -> frozenset[str] | None:
-    """A list of names that may be absent; an empty one is a list all the same and allows nothing."""
-    if table.get(key) is None:
-        return None
-    value = _get(table, key, list, where)
-    if not all(isinstance(name, str) for name in value):
-        raise ValueError(f"{where}{key}: impossible value {value!r}")
-    return frozenset(value)
 
+class Party(Struct, rename="pascal", frozen=True, kw_only=True):
+    """A tenant."""
 
-def _fields(make: Callable[..., Any], where: str, renamed: dict[str, str], **values: Any) -> Any:
-    """Build a settings class; its complaints about a field are worded with the wire's key."""
-    try:
-        return make(**values)
-    except ValueError as error:
-        name, _, why = str(error).partition(": ")
-        raise ValueError(f"{where}{renamed.get(name, name)}: {why}") from None
+    name: Name
+    share: Figure = 0.0
+    quota_per_s: Figure = 0.0
 
 
-def settings_from(setup: Any) -> Settings:
-    """Read the settings of `power_on`; unknown keys are skipped, absent optional ones take defaults."""
-    number = (int, float)
-    if not isinstance(setup, dict):
-        raise ValueError("Setup: must be an object")
-    classes = []
-    for i, c in enumerate(_get(setup, "Categories", list, "")):
-        where = f"Categories[{i}]."
-        renamed = {
-            "name": "Name",
-            "aim_us": "AimUs",
-            "deadline_us": "DeadlineUs",
-            "credit": "Credit",
-            "late_share": "LateShare",
-            "dedup_window_us": "DedupWindowUs",
-        }
-        effect = _choice(Effect, c, "Effect", where)
-        keyed = effect is Effect.DEDUPLICATED
-        classes.append(
-            _fields(
-                RequestClass,
-                where,
-                renamed,
-                name=_get(c, "Name", str, where),
-                aim_us=_get(c, "AimUs", int, where),
-                deadline_us=_get(c, "DeadlineUs", int, where),
-                effect=effect,
-                group=_choice(Group, c, "Group", where, None if keyed else "all"),
-                dedup_window_us=_get(c, "DedupWindowUs", int, where, None if keyed else 0),
-                credit=float(_get(c, "Credit", number, where, 1.0)),
-                late_share=float(_get(c, "LateShare", number, where, 0.0)),
-                streaming=_get(c, "Streaming", bool, where, False),
-                stays_in=_names(c, "StaysIn", where),
-                served_on=_names(c, "ServedOn", where),
-            )
-        )
-    tenants = []
-    for i, t in enumerate(_get(setup, "Parties", list, "", [])):
-        where = f"Parties[{i}]."
-        renamed = {"name": "Name", "share": "Share", "quota_per_s": "QuotaPerS"}
-        tenants.append(
-            _fields(
-                Tenant,
-                where,
-                renamed,
-                name=_get(t, "Name", str, where),
-                share=float(_get(t, "Share", number, where, 0.0)),
-                quota_per_s=float(_get(t, "QuotaPerS", number, where, 0.0)),
-            )
+class Allowed(Struct, rename="pascal", frozen=True, kw_only=True):
+    """What the site permits."""
+
+    max_attempts: Annotated[int, Meta(ge=1)] = 3
+    max_retry_after_us: TimeOrNone = 1_000_000
+    second_copies: bool = False
+    may_cancel: bool = False
+    conn_idle_us: TimeOrNone = 0  # idle connections are closed after this; 0: not told
+    connect_timeout_us: Time = 250_000
+    retry_after: bool = False
+
+
+class Charges(Struct, rename="pascal", frozen=True, kw_only=True):
+    """Points taken off the result."""
+
+    cross_zone: float = 0.0
+
+
+class Figures(Struct, rename="pascal", frozen=True, kw_only=True):
+    """The figures of the rules."""
+
+    cold_us: TimeOrNone = 10_000_000
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.1
+    overload_factor: Annotated[float, Meta(gt=0)] = 2.0
+    ask_every_us: TimeOrNone = 0  # 0: not stated
+
+
+class Weights(Struct, rename="pascal", frozen=True, kw_only=True):
+    """Weights of the parts of the result."""
+
+    # Parts that add up worth,
+    whole: Figure = 0.0
+    worst_window: Figure = 0.0
+    worst_tenant: Figure = 0.0
+    availability: Figure = 0.0
+    # and those that look at each class alone.
+    worst_class: Figure = 0.0
+    tail: Figure = 0.0
+
+    def goal(self) -> Goal:
+        by_worth = self.whole + self.worst_window + self.worst_tenant + self.availability
+        by_class = self.worst_class + self.tail
+        return Goal(by_worth, by_class) if by_worth or by_class else Goal()
+
+
+class Setup(Struct, rename="pascal", frozen=True, kw_only=True):
+    """All that an instance is told at its start."""
+
+    categories: Annotated[list[Category], Meta(min_length=1)]
+    parties: list[Party] = []
+    allowed: Allowed = Allowed()
+    charges: Charges = Charges()
+    rules: Figures = Figures()
+    goal: Weights = Weights()
+    rank: Annotated[int, Meta(ge=0)] = 0
+    balancers: Annotated[int, Meta(ge=1)] = 1
+    layer: Annotated[int, Meta(ge=0)] = 0
+    # Only their number counts here.
+    tiers: Annotated[list[Any], Meta(min_length=1)] = field(default_factory=lambda: [""])
+    my_zone: str = ""
+    over_share_worth: Figure = 1.0
+    discovery: Discovery = Discovery.PUSH
+
+    def __post_init__(self) -> None:
+        for what, names in (
+            ("Categories (categories)", [c.name for c in self.categories]),
+            ("Parties (parties)", [p.name for p in self.parties]),
+        ):
+            if len(set(names)) != len(names):
+                raise ValueError(f"{what}: names must differ")
+        if self.layer >= len(self.tiers):
+            raise ValueError("Tiers (tiers): must be more than Layer (layer)")
+
+    def settings(self) -> Settings:
+        allowed, rules = self.allowed, self.rules
+        return Settings(
+            classes=tuple(category.request_class() for category in self.categories),
+            rank=self.rank,
+            balancers=self.balancers,
+            layer=self.layer,
+            tiers=len(self.tiers),
+            zone=self.my_zone,
+            tenants=tuple(Tenant(p.name, p.share, p.quota_per_s) for p in self.parties),
+            over_share_worth=self.over_share_worth,
+            discovery=self.discovery,
+            limits=Limits(
+                max_attempts=allowed.max_attempts,
+                max_retry_after_us=allowed.max_retry_after_us,
+                second_copies=allowed.second_copies,
+                may_cancel=allowed.may_cancel,
+                retry_after=allowed.retry_after,
+                conn_idle_us=allowed.conn_idle_us,
+                connect_timeout_us=allowed.connect_timeout_us,
+            ),
+            prices=Prices(cross_zone=self.charges.cross_zone),
+            goal=self.goal.goal(),
+            rules=Rules(
+                cold_us=rules.cold_us,
+                cold_from=rules.cold_from,
+                overload_factor=rules.overload_factor,
+                ask_every_us=rules.ask_every_us,
+            ),
         )
-    allowed, charges = _get(setup, "Allowed", dict, "", {}), _get(setup, "Charges", dict, "", {})
-    figures = _get(setup, "Rules", dict, "", {})
-    limits = _fields(
-        Limits,
-        "Allowed.",
-        {
-            "max_attempts": "MaxAttempts",
-            "max_retry_after_us": "MaxRetryAfterUs",
-            "conn_idle_us": "ConnIdleUs",
-            "connect_timeout_us": "ConnectTimeoutUs",
-        },
-        max_attempts=_get(allowed, "MaxAttempts", int, "Allowed.", 3),
-        max_retry_after_us=_get(allowed, "MaxRetryAfterUs", int, "Allowed.", 1_000_000),
-        second_copies=_get(allowed, "SecondCopies", bool, "Allowed.", False),
-        may_cancel=_get(allowed, "MayCancel", bool, "Allowed.", False),
-        conn_idle_us=_get(allowed, "ConnIdleUs", int, "Allowed.", 0),
-        connect_timeout_us=_get(allowed, "ConnectTimeoutUs", int, "Allowed.", 250_000),
-        retry_after=_get(allowed, "RetryAfter", bool, "Allowed.", False),
-    )
-    prices = Prices(cross_zone=float(_get(charges, "CrossZone", number, "Charges.", 0.0)))
-    rules = _fields(
-        Rules,
-        "Rules.",
-        {
-            "cold_us": "ColdUs",
-            "cold_from": "ColdFrom",
-            "overload_factor": "OverloadFactor",
-            "ask_every_us": "AskEveryUs",
-        },
-        cold_us=_get(figures, "ColdUs", int, "Rules.", 10_000_000),
-        cold_from=float(_get(figures, "ColdFrom", number, "Rules.", 0.1)),
-        overload_factor=float(_get(figures, "OverloadFactor", number, "Rules.", 2.0)),
-        ask_every_us=_get(figures, "AskEveryUs", int, "Rules.", 0),
-    )
-    parts = _get(setup, "Goal", dict, "", {})
-    weight = {key: float(_get(parts, key, number, "Goal.", 0.0)) for key in BY_WORTH + BY_CLASS}
-    for key, value in weight.items():
-        if value < 0:
-            raise ValueError(f"Goal.{key}: must not be negative")
-    goal = Goal(
-        by_worth=sum(weight[key] for key in BY_WORTH) if parts else 1.0,
-        by_class=sum(weight[key] for key in BY_CLASS),
-    )
-    tiers = _get(setup, "Tiers", list, "", [""])
-    return _fields(  # type: ignore[no-any-return]
-        Settings,
-        "",
-        {
-            "classes": "Categories",
-            "tenants": "Parties",
-            "rank": "Rank",
-            "balancers": "Balancers",
-            "layer": "Layer",
-            "tiers": "Tiers",
-            "over_share_worth": "OverShareWorth",
-        },
-        classes=tuple(classes),
-        rank=_get(setup, "Rank", int, "", 0),
-        balancers=_get(setup, "Balancers", int, "", 1),
-        layer=_get(setup, "Layer", int, "", 0),
-        tiers=len(tiers),
-        zone=_get(setup, "MyZone", str, "", ""),
-        tenants=tuple(tenants),
-        over_share_worth=float(_get(setup, "OverShareWorth", number, "", 1.0)),
-        discovery=_choice(Discovery, setup, "Discovery", "", "push"),
-        limits=limits,
-        prices=prices,
-        goal=goal,
-        rules=rules,
-    )
+
+
+def settings_from(setup: Any) -> Settings:
+    """Read the settings of `power_on`; unknown keys are skipped, absent optional ones take defaults.
+
+    Raises:
+        DocumentError: a ValueError that names each key with a fault.
+    """
+    return convert(setup, Setup).settings()
--- a/eiderhub/sidecar/__main__.py
+++ b/eiderhub/sidecar/__main__.py
@@ -6,12 +6,12 @@
 import contextlib
 import gc
 import itertools
-import logging
 import os
 import signal
 import socket
 import sys
 
+import structlog
 import uvloop
 
 from eiderhub.sidecar.bodies import most_kept
@@ -20,6 +20,7 @@
 from eiderhub.sidecar.handover import Presence, inherited_socket, recollect, remember
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.lifecycle import FLUSH_S, Lifecycle
+from eiderhub.sidecar.logs import configure
 from eiderhub.sidecar.management import MOST, OWN_DESCRIPTORS, Management
 from eiderhub.sidecar.server import Server
 
@@ -33,23 +34,7 @@
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
-LINES_PER_S = 20
-log = logging.getLogger("eiderhub.sidecar")
-
-
-class Sparse(logging.Filter):
-    """Lets through so many lines a second: a log that runs full would hold up every request."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.second = 0
-        self.count = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self.second:
-            self.second, self.count = int(record.created), 0
-        self.count += 1
-        return self.count <= LINES_PER_S
+log = structlog.get_logger()
 
 
 async def watch_lag() -> None:
@@ -62,7 +47,7 @@
         worst = max(worst, now - before - int(LAG_EVERY_S * 1e6))
         if now >= next_log:
             if worst >= LAG_WORTH_US:
-                log.warning("the event loop was late by up to %d ms", worst // 1000)
+                log.warning("the event loop was late", most_ms=worst // 1000)
             worst, next_log = 0, now + int(LAG_LOG_S * 1e6)
 
 
@@ -94,9 +79,9 @@
     try:
         address = load_discovery(os.environ)
     except ConfigError as error:
-        log.error("the configuration was not reloaded: %s", error)
+        log.error("the configuration was not reloaded", reason=str(error))
         return
-    log.info("discovery is at %s:%d now", address.host, address.port)
+    log.info("discovery has moved", to=f"{address.host}:{address.port}")
     host.watcher.move(address.host, address.port)
 
 
@@ -126,7 +111,7 @@
         presence.enter()
         if directory and presence.others() and (memory_of_old := recollect(directory)) is not None:
             host.balancer.recall(now_us(), memory_of_old)
-            log.info("%s starts with what the process in service has learned", config.name)
+            log.info("starts with what the process in service has learned")
         chores.append(share(presence, server, host, sockets, directory))
     background = [loop.create_task(chore) for chore in chores]
     # What lives from here to the end need not be walked again: a full collection holds up every request.
@@ -138,7 +123,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(host.named.wait(), FIRST_LIST_S)
     await server.listener.start_serving()
-    log.info("%s serves on %s:%d", config.name, config.listen.host, config.listen.port)
+    log.info("serves", listen=f"{config.listen.host}:{config.listen.port}")
     await stop.wait()
     await drain(server.lifecycle, server, host, inherited is not None and presence.others() > 0)
     for task in background:
@@ -146,17 +131,16 @@
 
 
 def main() -> int:
-    handler = logging.StreamHandler()
-    handler.addFilter(Sparse())
-    logging.basicConfig(
-        level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s", handlers=[handler]
-    )
     try:
         config = load(os.environ)
+        configure({"name": config.name, "tier": config.tier}, config.log.form, config.log.lines_per_s)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(config, inherited_socket(os.environ), os.environ.get("TMPDIR")))
-    except (ConfigError, OSError) as error:
-        print(f"eiderhub.sidecar: {error}", file=sys.stderr)
+    except ConfigError as error:
+        print(f"ottercleat: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"ottercleat: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 import struct
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
 import httptools
+import structlog
 
 from eiderhub.sidecar.bodies import (
     LAST_CHUNK,
@@ -34,7 +34,7 @@
 LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
-log = logging.getLogger(__name__)
+log = structlog.get_logger()
 
 
 class Rejected(Exception):
@@ -356,7 +356,7 @@
             return
         except Exception:
             # It has not reached the module, but what was asked for is unclear: no promise is made.
-            log.exception("a request could not be read")
+            log.exception("a request could not be read", target=incoming.url[:200].decode("latin-1"))
             self.answer(500, [], b"")
             return
         if request is not None:
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -1,25 +1,58 @@
-"""What a sidecar is told at its start: the environment and the JSON file that it names."""
+"""What a sidecar is told at its start: the environment and the file that it names, TOML or JSON."""
 
 from __future__ import annotations
 
-import json
+import secrets
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
+
+from msgspec import Meta, Struct
 
 from eiderhub.interface import Settings
-from eiderhub.settings import settings_from
-from eiderhub.sidecar.discovery import Listing, read_listing
+from eiderhub.reading import DocumentError, convert, parse
+from eiderhub.settings import Setup
+from eiderhub.sidecar.discovery import Listing, Roll
+from eiderhub.sidecar.logs import LINES_PER_S, Form
 
 SOCKETS = 1024  # descriptors, where the configuration states no limit
 MEMORY_MB = 128  # likewise
 
+AddressText = Annotated[str, Meta(pattern=r"^[^:]+:[0-9]{1,5}$", description="an address:port")]
+
 
 class ConfigError(Exception):
     """A configuration that no sidecar can start from, worded for those on call."""
 
 
+class Bounds(Struct, frozen=True, kw_only=True):
+    """What the process may use."""
+
+    cores: Annotated[float, Meta(gt=0)] = 1.0  # the platform's to enforce
+    memory_mb: Annotated[float, Meta(gt=0)] = MEMORY_MB
+    sockets: Annotated[int, Meta(ge=1)] = SOCKETS
+
+
+class Log(Struct, frozen=True, kw_only=True):
+    form: Form = Form.AUTO
+    lines_per_s: Annotated[int, Meta(ge=1, le=10_000)] = LINES_PER_S
+
+
+class Document(Struct, frozen=True, kw_only=True):
+    """The configuration file."""
+
+    settings: Setup
+    name: str = ""
+    listen: AddressText | None = None  # where callers connect
+    discovery: AddressText | None = None
+    management: Annotated[str, Meta(pattern=r"^$|^[^:]+:[0-9]{1,5}$", description="an address:port")] = ""
+    seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]*$", description="a hexadecimal number")] | int = ""
+    limits: Bounds = Bounds()
+    log: Log = Log()
+    known: Roll | None = None  # the list of endpoints as it was last known
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     host: str
@@ -37,69 +70,80 @@
     settings: Settings
     management: Address | None = None  # where operators call
     memory: int = MEMORY_MB << 20  # bytes
+    log: Log = field(default_factory=Log)
+    tier: str = ""
 
 
-def parse_address(text: object, key: str) -> Address:
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+def parse_address(text: str | None, key: str) -> Address:
+    """An address from the environment, or one that the file has; `key` names where it stands."""
+    host, _, port = (text or "").rpartition(":")
     if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise ConfigError(f"{key}: no address:port: {text!r}")
+        raise ConfigError(f"{key}: {'missing' if text is None else f'no address:port: {text!r}'}")
     return Address(host, int(port))
 
 
-def _seed(value: object) -> int:
-    try:
-        return int(str(value), 16)
-    except ValueError:
-        raise ConfigError(f"seed: no hexadecimal number: {value!r}") from None
+def read_document(path: str) -> Document:
+    """A configuration file.
 
+    Raises:
+        DocumentError: with all of its faults.
+    """
+    document, people = parse(Path(path))
+    found: Document = convert(document, Document, path, people)
+    return found
 
-def _document(path: str) -> dict[str, Any]:
+
+def _document(environ: Mapping[str, str]) -> Document:
+    path = environ.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG: missing; it names the configuration file")
     try:
-        document = json.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ConfigError(f"GW_CONFIG: {path}: {error.strerror}") from None
-    except ValueError:
-        raise ConfigError(f"GW_CONFIG: {path}: no JSON") from None
-    if not isinstance(document, dict):
-        raise ConfigError(f"GW_CONFIG: {path}: must be an object")
-    return document
+        return read_document(path)
+    except DocumentError as error:
+        raise ConfigError(str(error)) from None
 
 
 def load_discovery(environ: Mapping[str, str]) -> Address:
     """Discovery's address as the file has it now: after SIGHUP the variable still holds the one before."""
-    return parse_address(_document(environ.get("GW_CONFIG", "")).get("discovery"), "discovery")
+    return parse_address(_document(environ).discovery, "discovery")
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; the variables stand above what the file says of the same."""
-    path = environ.get("GW_CONFIG")
-    if not path:
-        raise ConfigError("GW_CONFIG: missing")
-    document = _document(path)
-    limits = document.get("limits")
-    sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
-    if not isinstance(sockets, int) or sockets < 1:
-        raise ConfigError(f"limits.sockets: impossible value {sockets!r}")
-    memory_mb = limits.get("memory_mb", MEMORY_MB) if isinstance(limits, dict) else MEMORY_MB
-    if not isinstance(memory_mb, int | float) or not memory_mb > 0:
-        raise ConfigError(f"limits.memory_mb: impossible value {memory_mb!r}")
-    try:
-        settings = settings_from(document.get("settings"))
-    except ValueError as error:
-        raise ConfigError(f"settings: {error}") from None
-    try:
-        known = read_listing(document.get("known"))
-    except ValueError as error:
-        raise ConfigError(f"known: {error}") from None
-    management = environ.get("GW_MANAGEMENT") or document.get("management")
+def _seed(value: str | int) -> int:
+    return int(str(value), 16) if value != "" else secrets.randbits(64)
+
+
+def config_of(document: Document, environ: Mapping[str, str]) -> Config:
+    """The variables stand above what the file says of the same."""
+
+    def address(variable: str, told: str | None) -> Address:
+        text = environ.get(variable)
+        return (
+            parse_address(text, variable)
+            if text
+            else parse_address(told, variable.removeprefix("GW_").lower())
+        )
+
+    tiers: list[Any] = document.settings.tiers
+    managed = environ.get("GW_MANAGEMENT") or document.management
     return Config(
-        name=environ.get("GW_NAME") or str(document.get("name", "")),
-        listen=parse_address(environ.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
-        discovery=parse_address(environ.get("GW_DISCOVERY") or document.get("discovery"), "GW_DISCOVERY"),
-        seed=_seed(document.get("seed")),
-        sockets=sockets,
-        known=known,
-        settings=settings,
-        management=parse_address(management, "GW_MANAGEMENT") if management else None,
-        memory=int(memory_mb * (1 << 20)),
+        name=environ.get("GW_NAME") or document.name,
+        listen=address("GW_LISTEN", document.listen),
+        discovery=address("GW_DISCOVERY", document.discovery),
+        seed=_seed(document.seed),
+        sockets=document.limits.sockets,
+        known=document.known.listing() if document.known is not None else Listing(0, True, []),
+        settings=document.settings.settings(),
+        management=address("GW_MANAGEMENT", document.management) if managed else None,
+        memory=int(document.limits.memory_mb * (1 << 20)),
+        log=document.log,
+        tier=str(tiers[document.settings.layer]),
     )
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration.
+
+    Raises:
+        ConfigError: with one line that names what is wrong.
+    """
+    return config_of(_document(environ), environ)
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import logging
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Annotated, NamedTuple
+
+import msgspec
+import structlog
+from msgspec import Meta, Struct
 
 from eiderhub.interface import Endpoint, ListForm, Readiness
 from eiderhub.sidecar.clock import UNIX_OFFSET_US
@@ -24,7 +26,47 @@
 CONNECT_S = 2.0
 MOST_LIST = 8 << 20  # bytes
 PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
-log = logging.getLogger(__name__)
+log = structlog.get_logger()
+
+
+class Instance(Struct, rename="camel", frozen=True, kw_only=True):
+    """One entry in discovery's form."""
+
+    instance_id: str
+    host_port: Annotated[str, Meta(pattern=r"^.+:[0-9]{1,5}$", description="an address:port")]
+    lifecycle: Readiness
+    zone: str | None = None
+    machine_type: str | None = None
+    cell: int | None = None
+    weight: float | None = None  # 1 where it is not told, or not above 0
+    started_at_ms: float | None = None  # Unix time; 0: long ago
+
+    def listed(self) -> Listed:
+        host, _, port = self.host_port.rpartition(":")
+        started_ms = int(self.started_at_ms or 0)
+        weight = self.weight or 1.0
+        endpoint = Endpoint(
+            id=self.instance_id,
+            zone=self.zone or "",
+            kind=self.machine_type or "",
+            cell=-1 if self.cell is None else self.cell,
+            readiness=self.lifecycle,
+            weight=weight if weight > 0 else 1.0,
+            # The module's clock is monotonic, so a start may lie before its zero.
+            launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
+        )
+        return Listed(endpoint, host, int(port))
+
+
+class Roll(Struct, frozen=True, kw_only=True):
+    """A list in discovery's form."""
+
+    generation: int
+    reset: bool  # whether the list is whole
+    instances: list[Instance]
+
+    def listing(self) -> Listing:
+        return Listing(self.generation, self.reset, [instance.listed() for instance in self.instances])
 
 
 class Listed(NamedTuple):
@@ -41,34 +83,13 @@
     entries: list[Listed]
 
 
-def _entry(row: Any) -> Listed:
-    host, _, port = row["hostPort"].rpartition(":")
-    started_ms = int(row.get("startedAtMs") or 0)
-    weight = float(row.get("weight") or 1.0)
-    endpoint = Endpoint(
-        id=str(row["instanceId"]),
-        zone=str(row.get("zone") or ""),
-        kind=str(row.get("machineType") or ""),
-        cell=int(row["cell"]) if row.get("cell") is not None else -1,
-        readiness=Readiness(row["lifecycle"]),
-        weight=weight if weight > 0 else 1.0,
-        # 0 stands for long ago; the module's clock is monotonic, so a start may lie before its zero.
-        launched_us=started_ms * 1000 - UNIX_OFFSET_US or 1 if started_ms else 0,
-    )
-    if not host:
-        raise ValueError("hostPort")
-    return Listed(endpoint, host, int(port))
-
-
-def read_listing(document: Any) -> Listing:
-    """Read a list in discovery's form."""
-    if document is None:  # a sidecar that never had one
-        return Listing(0, True, [])
-    try:
-        entries = [_entry(row) for row in document["instances"]]
-        return Listing(int(document["generation"]), bool(document["reset"]), entries)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise ValueError(f"no list of endpoints ({type(error).__name__}: {error})") from None
+def read_listing(body: bytes) -> Listing:
+    """Read an answer of discovery.
+
+    Raises:
+        ValueError: where it is no list; nothing of it may be used then.
+    """
+    return msgspec.json.decode(body, type=Roll).listing()
 
 
 class Watcher:
@@ -114,7 +135,7 @@
             try:
                 listing = await self._ask()
             except Exception as error:  # whatever it is, the list must not stay as it is for good
-                log.warning("discovery: %s: %s", type(error).__name__, error)
+                log.warning("discovery failed", reason=str(error) or type(error).__name__)
                 self._hang_up()
                 if not self.persist:
                     self._task = None
@@ -146,7 +167,7 @@
             self._mind_gap(False)
         if response.status != 200:
             raise ValueError(f"answered {response.status}")
-        return read_listing(json.loads(response.body))
+        return read_listing(response.body)
 
     def _moved(self) -> None:
         """More has come: from an answer's first byte on only a gap, or its whole length, ends the wait."""
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol
 
+import structlog
+
 from eiderhub.balancer import Balancer
 from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
 from eiderhub.sidecar.bodies import Headers, Source, Upload, most_kept
@@ -22,7 +23,7 @@
 from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
 
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
-log = logging.getLogger(__name__)
+log = structlog.get_logger()
 
 
 class Caller(Protocol):
@@ -127,7 +128,7 @@
         try:
             event(now_us(), *values)
         except Exception:
-            log.exception("the module failed")
+            log.exception("the module failed", event_name=getattr(event, "__name__", "wake"))
             return False
         return True
 
@@ -283,7 +284,7 @@
     def hand_off(self, call: str, endpoint: str, max_wait_us: int) -> None:
         request = self.requests.get(call)
         if request is None:
-            log.error("an attempt was asked for a request that is over")
+            log.error("an attempt was asked for a request that is over", request=call, endpoint=endpoint)
             return
         attempt = Attempt(
             len(request.attempts),
@@ -335,7 +336,7 @@
         self.upstream.close_idle(endpoint)
 
     def write_log(self, text: str) -> None:
-        log.info("%s", text)
+        log.info(text, source="module")
 
     # --- discovery ---
 
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from typing import Any
 
+import structlog
+
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.sidecar.bodies import MOST_KEPT
 from eiderhub.sidecar.caller import CallerConnection, Incoming, Rejected
@@ -24,7 +25,7 @@
 EXCESS = 8  # connections past those that callers may have, to be told so
 BUSY_WAIT = b"1"  # Retry-After where no descriptor is left
 NOT_FORWARDED = HOP_BY_HOP | {b"req-deadline-ms"}  # it is told anew with each attempt
-log = logging.getLogger(__name__)
+log = structlog.get_logger()
 
 
 class Server:
@@ -91,7 +92,7 @@
         while True:
             await asyncio.sleep(TALLY_EVERY_S)
             if self._tally:
-                log.info("callers: %s", ", ".join(f"{what} {n}" for what, n in sorted(self._tally.items())))
+                log.info("callers turned away", reasons=dict(sorted(self._tally.items())))
                 self._tally.clear()
 
     async def watch_callers(self) -> None:
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
 
 import httptools
+import structlog
 
 from eiderhub.interface import Outcome
 from eiderhub.sidecar.bodies import (
@@ -44,7 +44,7 @@
         b"upgrade", b"content-length", b"expect",
     )
 )  # fmt: skip
-log = logging.getLogger(__name__)
+log = structlog.get_logger()
 
 
 class Response(NamedTuple):
@@ -487,9 +487,9 @@
         while True:
             await asyncio.sleep(TALLY_EVERY_S)
             if self._tally:
-                tally = ", ".join(f"{what} {n}" for what, n in sorted(self._tally.items()))
                 idle = sum(len(pool.idle) for pool in self.pools.values())
-                log.info("attempts: %s; %d connections, %d idle", tally, self.open, idle)
+                tally = dict(sorted(self._tally.items()))
+                log.info("attempts", outcomes=tally, connections=self.open, idle=idle)
                 self._tally.clear()
 
     async def sweep(self) -> None:
@@ -500,7 +500,8 @@
             for pool in self.pools.values():
                 pool.close_idle(now - self.keep_us)
             for connection in [c for c in self.streams if c.stalled(now)]:
-                log.warning("a body was broken off: the endpoint stands still amid it")
+                endpoint = connection.attempt.endpoint if connection.attempt is not None else None
+                log.warning("a body was broken off", reason="the endpoint stands still", endpoint=endpoint)
                 connection.fail()
 
     def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
@@ -543,7 +544,7 @@
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
         else:
-            log.warning("no descriptor is left for a connection to an endpoint")
+            log.warning("no connection", reason="no descriptor is left", endpoint=attempt.endpoint)
             loop.call_soon(attempt.end, Outcome.CONNECT_FAILED)
 
     def limit(self, most: int) -> None:
