--- /dev/null
+++ b/eiderhub/cli/config.py
@@ -0,0 +1,91 @@
+"""`ottercleat config`: what a configuration file says, and what is wrong with it."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any
+
+import click
+import msgspec
+import tomli_w
+
+from eiderhub.sidecar.config import Document, read_document
+from eiderhub.world import scenario as scenarios
+
+CAMEL = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
+
+
+@click.group("config")
+def command() -> None:
+    """Check a configuration, show what it comes to, or print its schema."""
+
+
+def _read(path: str, scenario: bool) -> Document | scenarios.Scenario:
+    return scenarios.load(path) if scenario else read_document(path)
+
+
+SCENARIO = click.option("--scenario", is_flag=True, help="FILE is a scenario (or the name of a shipped one).")
+
+
+@command.command()
+@click.argument("path", metavar="FILE")
+@SCENARIO
+def check(path: str, scenario: bool) -> None:
+    """Say all that is wrong with FILE, one line a fault; exit status 2 if anything is."""
+    _read(path, scenario)
+    click.echo(f"{path}: ok")
+
+
+@command.command()
+@click.argument("path", metavar="FILE")
+@SCENARIO
+def show(path: str, scenario: bool) -> None:
+    """Print what FILE comes to, with every default, as TOML for people."""
+    document = _by_people(_read(path, scenario))
+    assert isinstance(document, dict)
+    click.echo(tomli_w.dumps(document), nl=False)
+
+
+@command.command()
+@click.option("--form", type=click.Choice(["toml", "json"]), default="toml", show_default=True)
+@SCENARIO
+def schema(form: str, scenario: bool) -> None:
+    """Print the JSON Schema of a configuration file: with people's names (toml), or the platform's (json)."""
+    found = msgspec.json.schema(scenarios.Scenario if scenario else Document)
+    if form == "toml":
+        found = _renamed(found)
+        for definition in found["$defs"].values():
+            if definition.get("type") == "object":
+                definition["additionalProperties"] = False
+    click.echo(json.dumps(found, indent=2))
+
+
+def _by_people(value: Any) -> Any:
+    """A struct as plain data under its attributes' names; what is not told is left out."""
+    if isinstance(value, msgspec.Struct):
+        pairs = ((name, getattr(value, name)) for name in value.__struct_fields__)
+        return {name.rstrip("_"): _by_people(item) for name, item in pairs if item is not None}
+    if isinstance(value, list | tuple):
+        return [_by_people(item) for item in value]
+    return msgspec.to_builtins(value)
+
+
+def _renamed(schema: dict[str, Any]) -> dict[str, Any]:
+    """The schema with people's names for its properties; the platform's are the same words in other case."""
+
+    def people(name: str) -> str:
+        return CAMEL.sub("_", name).lower().rstrip("_")
+
+    def walk(value: Any) -> Any:
+        if isinstance(value, list):
+            return [walk(item) for item in value]
+        if not isinstance(value, dict):
+            return value
+        found = {key: walk(item) for key, item in value.items()}
+        if isinstance(value.get("properties"), dict):
+            found["properties"] = {people(key): walk(item) for key, item in value["properties"].items()}
+            found["required"] = [people(key) for key in value.get("required", [])]
+        return found
+
+    return walk(schema)  # type: ignore[no-any-return]
--- /dev/null
+++ b/eiderhub/cli/ctl.py
@@ -0,0 +1,53 @@
+"""`ottercleat ctl`: the operators' calls."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+
+from eiderhub.emulator import operators
+
+CALLS = ("status", "stats", "standby", "active")
+
+
+class AddressType(click.ParamType[tuple[str, int]]):
+    """An address:port."""
+
+    name = "address"
+
+    def convert(
+        self, value: object, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, int]:
+        if isinstance(value, tuple):
+            return value
+        host, _, port = str(value).rpartition(":")
+        if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) <= 65535:
+            self.fail(f"{value!r} is no address:port, such as 127.0.0.1:7071", param, ctx)
+        return host, int(port)
+
+
+@click.command("ctl")
+@click.argument("address", type=AddressType())
+@click.argument("call", type=click.Choice(CALLS))
+@click.option(
+    "--wait",
+    "wait_s",
+    type=click.FloatRange(0.05, 60),
+    default=2.0,
+    show_default=True,
+    help="Seconds for an answer.",
+)
+def command(address: tuple[str, int], call: str, wait_s: float) -> int:
+    """Call the sidecar whose management ADDRESS this is: status, stats, standby or active.
+
+    Exit status 0 where it answers OK, 1 where it answers ERR or not at all.
+    """
+    host, port = address
+    try:
+        answer = asyncio.run(operators.call(host, port, call, wait_s))
+    except operators.Unanswered as error:
+        click.echo(f"ottercleat: {host}:{port}: {error}", err=True)
+        return 1
+    click.echo(answer)
+    return 0 if answer.startswith("OK") else 1
--- /dev/null
+++ b/eiderhub/cli/emulate.py
@@ -0,0 +1,95 @@
+"""`ottercleat emulate`: a deployment that stays up, for other tools to be pointed at."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import shutil
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from eiderhub.cli import playing, screen
+from eiderhub.cli.demo import MOST_SEED
+from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
+from eiderhub.world import scenario as scenarios
+from eiderhub.world.day import Day, draw
+
+
+@click.command("emulate")
+@click.argument("scenario")
+@click.option(
+    "--seed", type=click.IntRange(0, MOST_SEED), default=1, show_default=True, help="The day's seed."
+)
+@click.option("--traffic", is_flag=True, help="Play the scenario's clients, too, once.")
+@click.option("--json", "json_file", metavar="FILE", help="Write all figures there at the end.")
+@click.option(
+    "--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the sidecars' logs there."
+)
+@click.option("--command", help="What starts a sidecar, instead of this build.")
+def command(
+    scenario: str, seed: int, traffic: bool, json_file: str | None, logs: Path | None, command: str | None
+) -> int:
+    """Start the deployment of SCENARIO (a name, or a TOML file), print its addresses, and keep it up.
+
+    The scenario's troubles happen at their times; Ctrl-C ends everything. Point `ottercleat load` at a
+    front sidecar, and `ottercleat ctl` at its management address.
+    """
+    screen.check_writable(json_file)
+    day = draw(scenarios.load(scenario), seed, Path(scenario).stem)
+    out = Console(stderr=json_file == "-")
+    try:
+        result = playing.run(
+            lambda interrupts: _keep_up(day, interrupts, playing.split(command), logs, traffic, out)
+        )
+    except DeploymentError as error:
+        screen.show_crash(str(error), error.tail, Console(stderr=True))
+        return 1
+    screen.write_json(json_file, result.document())
+    if traffic or result.crash is not None or not result.verdict.rules_kept:
+        screen.show_result(result, out)
+    return 0 if result.held else 1
+
+
+async def _keep_up(
+    day: Day,
+    interrupts: playing.Interrupts,
+    command: list[str] | None,
+    logs: Path | None,
+    traffic: bool,
+    out: Console,
+) -> Result:
+    failed: DeploymentError | None = None
+    deployment = Deployment(day, command, logs)
+    interrupts.hurry = deployment.hurry
+    click.echo(f"starting {len(day.posts)} sidecars and {len(day.plans)} endpoints", err=True)
+    async with deployment:
+        show_addresses(deployment, out)
+        with contextlib.suppress(asyncio.CancelledError):
+            try:
+                if traffic:
+                    with screen.progress(day.name) as tell:
+                        await deployment.play(lambda part, outside: tell(part, playing.said(part, outside)))
+                else:
+                    deployment.begin_troubles()
+                click.echo("up until Ctrl-C", err=True)
+                await deployment.until_failure()
+            except DeploymentError as error:
+                failed = error
+        return deployment.result(failed)
+
+
+def show_addresses(deployment: Deployment, out: Console) -> None:
+    table = Table(show_edge=False, pad_edge=False)
+    for column in ("sidecar", "zone", "listens", "management"):
+        table.add_column(column, overflow="fold")
+    for name, station in deployment.stations.items():
+        if station.post.owner is None:
+            table.add_row(name, station.post.zone, f"{station.host}:{station.port}", station.management)
+    out.print(table)
+    first = next(iter(deployment.stations.values()))
+    width = shutil.get_terminal_size().columns
+    hint = f"ottercleat load {first.host}:{first.port} --config {first.config}"
+    out.print(hint, soft_wrap=len(hint) > width, highlight=False)
--- /dev/null
+++ b/eiderhub/cli/playing.py
@@ -0,0 +1,79 @@
+"""Plays a day with progress, and ends it in good order on Ctrl-C."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import shlex
+import signal
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import uvloop
+
+from eiderhub.cli.screen import Tell, progress
+from eiderhub.emulator.callers import Outside
+from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
+from eiderhub.world.day import Day
+
+T = TypeVar("T")
+
+
+class Interrupts:
+    """Ctrl-C and SIGTERM: the first one ends the work, a second one the patience with what ends."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._task = asyncio.current_task()
+        self.hurry: Callable[[], None] = lambda: None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, self._came)
+
+    def _came(self) -> None:
+        self.count += 1
+        if self.count == 1 and self._task is not None:
+            self._task.cancel()
+        else:
+            self.hurry()
+
+
+def run(main: Callable[[Interrupts], Coroutine[Any, Any, T]]) -> T:
+    """Run on uvloop, with interrupts told to the coroutine."""
+
+    async def begin() -> T:
+        return await main(Interrupts())
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(begin())
+
+
+def split(command: str | None) -> list[str] | None:
+    return shlex.split(command) if command else None
+
+
+def said(part: float, outside: Outside) -> str:
+    return f"{outside.ended} ended, {outside.served} served, {len(outside.open)} open"
+
+
+async def play(
+    day: Day, interrupts: Interrupts, command: list[str] | None, logs: Path | None
+) -> tuple[Result, bool]:
+    """One day, from start to end; what was measured, and whether it was interrupted."""
+    interrupted = False
+    failed: DeploymentError | None = None
+    deployment = Deployment(day, command, logs)
+    interrupts.hurry = deployment.hurry
+    with contextlib.ExitStack() as stack:
+        tell: Tell = stack.enter_context(progress(day.name))
+        tell(0.0, f"starting {len(day.posts)} sidecars")
+        async with deployment:
+            try:
+                await deployment.play(lambda part, outside: tell(part, said(part, outside)))
+            except DeploymentError as error:
+                failed = error
+            except asyncio.CancelledError:
+                interrupted = True
+            result = deployment.result(failed)
+    return result, interrupted
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -66,6 +66,7 @@
     verdict: Verdict
     lateness_ms: dict[str, float]
     usage: dict[str, dict[str, float]]
+    window_s: float
     front_cpu_us_per_request: float  # of each try that clients made
     notes: list[str] = field(default_factory=list)
     crash: str | None = None
@@ -368,6 +369,8 @@
 
     async def _play(self, progress: Callable[[float, Outside], None]) -> None:
         self.clock.begin()
+        for station in self.stations.values():
+            station.usage.before_s = self._cpu_s(station)
         for errand in arrivals(self.day):
             self.clock.at(errand.at_us, self.outside.begin, errand)
         self.begin_troubles()
@@ -401,9 +404,8 @@
         usage = {}
         front_cpu = 0.0
         for name, station in self.stations.items():
-            live = sum(process.measure()[0] for process in station.processes)
-            cpu_s = station.usage.cpu_s + live
-            front_cpu += cpu_s if station in front else 0.0
+            cpu_s = self._cpu_s(station)
+            front_cpu += cpu_s - station.usage.before_s if station in front else 0.0
             usage[name] = {
                 "cpu_s": round(cpu_s, 2),
                 "memory_mb": round(station.usage.memory_mb, 1),
@@ -422,14 +424,25 @@
             verdict=verdict,
             lateness_ms=self.clock.lateness_ms(),
             usage=usage,
+            window_s=self.day.scenario.goal.window_s,
             front_cpu_us_per_request=front_cpu * 1e6 / max(1, tries),
             notes=self._notes,
             crash=str(error) if error else None,
             crash_log=error.tail if error else [],
         )
 
+    @staticmethod
+    def _cpu_s(station: Station) -> float:
+        return station.usage.cpu_s + sum(process.measure()[0] for process in station.processes)
+
     # --- the end ---
 
+    def hurry(self) -> None:
+        """No more patience with sidecars that end."""
+        for station in self.stations.values():
+            for process in station.processes:
+                process.kill()
+
     async def close(self) -> None:
         """End every process, give them time for it, and remove what was written."""
         self._closing = True
@@ -441,8 +454,8 @@
         try:
             async with asyncio.timeout(STOP_S):
                 await asyncio.gather(*(process.ended.wait() for process in processes))
-        except (TimeoutError, asyncio.CancelledError):
-            pass  # Ctrl-C once more: no more patience
+        except TimeoutError:
+            pass
         finally:
             for process in processes:
                 process.kill()
--- a/eiderhub/emulator/processes.py
+++ b/eiderhub/emulator/processes.py
@@ -60,7 +60,8 @@
 class Usage:
     """What processes of one sidecar have used."""
 
-    cpu_s: float = 0.0
+    cpu_s: float = 0.0  # of processes that have ended
+    before_s: float = 0.0  # of that and of those that live, when the day began
     memory_mb: float = 0.0  # the most at any time
     starts: int = 0
 
@@ -113,7 +114,7 @@
         os.close(self._pidfd)
         _, status, used = os.wait4(self.pid, 0)
         self._usage.cpu_s += used.ru_utime + used.ru_stime
-        self._usage.memory_mb = max(self._usage.memory_mb, used.ru_maxrss / 1024)
+        # Not `ru_maxrss`: it holds the size that our own process had when it spawned this one.
         self.ended.set()
         self._on_end(self, os.waitstatus_to_exitcode(status))
 
