--- a/eiderhub/cli/demo.py
+++ b/eiderhub/cli/demo.py
@@ -59,9 +59,7 @@
         day = dataclasses.replace(day, length_us=int(seconds * 1e6))
     out = Console(stderr=json_file == "-")
     try:
-        result, interrupted = playing.run(
-            lambda interrupts: playing.play(day, interrupts, playing.split(command), logs)
-        )
+        result, interrupted = playing.run(lambda: playing.play(day, playing.split(command), logs))
     except DeploymentError as error:  # it never began
         screen.show_crash(str(error), error.tail, Console(stderr=True))
         return 1
--- a/eiderhub/cli/emulate.py
+++ b/eiderhub/cli/emulate.py
@@ -41,9 +41,7 @@
     day = draw(scenarios.load(scenario), seed, Path(scenario).stem)
     out = Console(stderr=json_file == "-")
     try:
-        result = playing.run(
-            lambda interrupts: _keep_up(day, interrupts, playing.split(command), logs, traffic, out)
-        )
+        result = playing.run(lambda: _keep_up(day, playing.split(command), logs, traffic, out))
     except DeploymentError as error:
         screen.show_crash(str(error), error.tail, Console(stderr=True))
         return 1
@@ -55,15 +53,13 @@
 
 async def _keep_up(
     day: Day,
-    interrupts: playing.Interrupts,
     command: list[str] | None,
     logs: Path | None,
     traffic: bool,
     out: Console,
 ) -> Result:
     failed: DeploymentError | None = None
-    deployment = Deployment(day, command, logs)
-    interrupts.hurry = deployment.hurry
+    deployment = Deployment(day, command, logs, strangers=True)
     click.echo(f"starting {len(day.posts)} sidecars and {len(day.plans)} endpoints", err=True)
     async with deployment:
         show_addresses(deployment, out)
--- a/eiderhub/cli/playing.py
+++ b/eiderhub/cli/playing.py
@@ -20,30 +20,22 @@
 T = TypeVar("T")
 
 
-class Interrupts:
-    """Ctrl-C and SIGTERM: the first one ends the work, a second one the patience with what ends."""
-
-    def __init__(self) -> None:
-        self.count = 0
-        self._task = asyncio.current_task()
-        self.hurry: Callable[[], None] = lambda: None
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, self._came)
-
-    def _came(self) -> None:
-        self.count += 1
-        if self.count == 1 and self._task is not None:
-            self._task.cancel()
-        else:
-            self.hurry()
+def run(main: Callable[[], Coroutine[Any, Any, T]]) -> T:
+    """Run on uvloop. Ctrl-C or SIGTERM cancels the work, once: what then ends it must not be cut short."""
 
+    async def begin() -> T:
+        task = asyncio.current_task()
+        interrupted = False
 
-def run(main: Callable[[Interrupts], Coroutine[Any, Any, T]]) -> T:
-    """Run on uvloop, with interrupts told to the coroutine."""
+        def interrupt() -> None:
+            nonlocal interrupted
+            if task is not None and not interrupted:
+                interrupted = True
+                task.cancel()
 
-    async def begin() -> T:
-        return await main(Interrupts())
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, interrupt)
+        return await main()
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(begin())
@@ -57,14 +49,11 @@
     return f"{outside.ended} ended, {outside.served} served, {len(outside.open)} open"
 
 
-async def play(
-    day: Day, interrupts: Interrupts, command: list[str] | None, logs: Path | None
-) -> tuple[Result, bool]:
+async def play(day: Day, command: list[str] | None, logs: Path | None) -> tuple[Result, bool]:
     """One day, from start to end; what was measured, and whether it was interrupted."""
     interrupted = False
     failed: DeploymentError | None = None
     deployment = Deployment(day, command, logs)
-    interrupts.hurry = deployment.hurry
     with contextlib.ExitStack() as stack:
         tell: Tell = stack.enter_context(progress(day.name))
         tell(0.0, f"starting {len(day.posts)} sidecars")
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -12,7 +12,7 @@
 
 from eiderhub.emulator.callers import Outside, Target, Try
 from eiderhub.emulator.clock import IN_DOUBT_MS, Clock
-from eiderhub.emulator.http import Pool, Reply
+from eiderhub.emulator.http import Exchange, Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs, Machine
 from eiderhub.emulator.processes import (
     Process,
@@ -31,7 +31,7 @@
 from eiderhub.world.endpoint import DedupGroup, Endpoint
 from eiderhub.world.front import Front
 from eiderhub.world.judge import Judge, Verdict
-from eiderhub.world.network import Network
+from eiderhub.world.network import Network, spread
 from eiderhub.world.registry import Registry
 from eiderhub.world.scenario import TroubleKind
 
@@ -39,7 +39,6 @@
 UP_EVERY_S = 0.05  # how often a sidecar that starts is asked
 UP_WAIT_S = 1.0  # for an answer to /up
 MEMORY_EVERY_S = 0.25
-STOP_S = 4.0  # at the end of a run, for sidecars that get SIGTERM, before SIGKILL
 UP = b"GET /up HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n"
 
 
@@ -143,9 +142,16 @@
 class Deployment:
     """Use as an asynchronous context: leaving it ends every process and removes every file."""
 
-    def __init__(self, day: Day, command: list[str] | None = None, keep: Path | None = None) -> None:
+    def __init__(
+        self,
+        day: Day,
+        command: list[str] | None = None,
+        keep: Path | None = None,
+        strangers: bool = False,
+    ) -> None:
         self.day = day
         self._command = command or default_command()
+        self._strangers = strangers  # whether endpoints serve what other callers send to the front
         self._keep = keep  # where the sidecars' logs are kept afterwards
         self._chores: set[asyncio.Task[None]] = set()
         self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -173,6 +179,7 @@
         day = self.day
         self.clock = Clock()
         self.judge = Judge(day)
+        self._strange = day.rng("strangers")
         self.jobs = Jobs()
         self.network = Network(day)
         self.registry = Registry(day)
@@ -197,6 +204,7 @@
                 self.jobs,
                 self._call_next,
                 self._fell,
+                self._adopt,
             )
         upgraded = {n for e in day.events if e.kind is TroubleKind.UPGRADE for n in e.sidecars}
         self.stations: dict[str, Station] = {}
@@ -357,6 +365,30 @@
         )
         return made.drop
 
+    def _adopt(self, exchange: Exchange, post: Post) -> Job | None:
+        """A request that came to a front sidecar from outside the day: its work is drawn like any other's."""
+        if not self._strangers or post.owner is not None:
+            return None
+        grade = next((g for g in self.day.grades if exchange.url == b"/" + g.name.encode()), None)
+        name = exchange.headers[b"req-id"]
+        if grade is None:
+            return None
+        key = exchange.headers.get(b"idempotency-key")
+        try:
+            left_us = int(exchange.headers.get(b"req-deadline-ms", b"")) * 1000
+        except ValueError:
+            return None
+        job = Job(
+            grade,
+            float(spread(self._strange, grade.work_us, grade.spread, 1)[0]),
+            exchange.headers.get(b"req-owner", b"").decode("latin-1") or None,
+            key.decode("latin-1") if key is not None else None,
+            self.clock.now_us() + left_us,
+        )
+        self.jobs.adopt(name, job)
+        self.judge.taken(name.decode("latin-1"), post.name, grade)
+        return job
+
     def _fell(self, plan: Plan) -> None:
         self.registry.gone(self.clock.now_us(), plan.id)
         self.roster.moved()
@@ -437,29 +469,17 @@
 
     # --- the end ---
 
-    def hurry(self) -> None:
-        """No more patience with sidecars that end."""
-        for station in self.stations.values():
-            for process in station.processes:
-                process.kill()
-
     async def close(self) -> None:
-        """End every process, give them time for it, and remove what was written."""
+        """End every process, and remove what was written. The world is over: nobody waits for an answer."""
         self._closing = True
         for task in list(self._chores):
             task.cancel()
         processes = [p for s in self.stations.values() for p in s.processes]
         for process in processes:
-            process.terminate()
+            process.kill()
         try:
-            async with asyncio.timeout(STOP_S):
-                await asyncio.gather(*(process.ended.wait() for process in processes))
-        except TimeoutError:
-            pass
-        finally:
-            for process in processes:
-                process.kill()
             await asyncio.gather(*(process.ended.wait() for process in processes))
+        finally:
             self._close_sockets()
             if self._keep is not None:
                 self._save_logs(self._keep)
--- a/eiderhub/emulator/load.py
+++ b/eiderhub/emulator/load.py
@@ -9,6 +9,7 @@
 import asyncio
 import ipaddress
 import math
+import secrets
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -29,6 +30,7 @@
 MOST_US = 3_600_000_000  # of a latency in the histograms
 DIGITS = 3
 PERCENTILES = (50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 99.99)
+DEADLINE_MS = 2000
 SOON_S = 0.0005  # requests due within this leave in one turn of the loop
 
 
@@ -39,7 +41,7 @@
     name: str
     effect: Effect
     share: float = 1.0
-    deadline_ms: int = 2000
+    deadline_ms: int = DEADLINE_MS
     aim_ms: int | None = None  # answers later than this are no goodput
 
 
@@ -87,7 +89,8 @@
     rng = np.random.default_rng([seed, 2])
     part = seconds / len(rates)
     pieces = [
-        np.sort(rng.uniform(i * part, (i + 1) * part, rng.poisson(rate * part))) for i, rate in enumerate(rates)
+        np.sort(rng.uniform(i * part, (i + 1) * part, rng.poisson(rate * part)))
+        for i, rate in enumerate(rates)
     ]
     return np.concatenate(pieces)
 
@@ -112,7 +115,9 @@
         except ValueError:
             at = math.nan
         if not 0 <= at <= 86_400:
-            faults.append(Fault(f"line {number}", f"must be seconds from the beginning, up to a day; it is {text!r}"))
+            faults.append(
+                Fault(f"line {number}", f"must be seconds from the beginning, up to a day; it is {text!r}")
+            )
         due.append(at)
     if not faults and not due:
         faults.append(Fault("", "holds no times"))
@@ -147,13 +152,14 @@
         self.sent = 0
         self.open: set[_Shot] = set()
         self.clock = Clock()
-        self.first_answer: int | None = None
+        self.statuses: Counter[int] = Counter()
         self._body = b"x" * mix.body_bytes
         rng = np.random.default_rng([seed, 3])
         count = len(due_s)
         self._shapes = _dealt(rng, [shape.share for shape in mix.shapes], count)
         self._tenants = _dealt(rng, [share for _, share in mix.tenants], count) if mix.tenants else None
-        self._ids = rng.integers(0, 2**63, count)
+        # Not from the seed: a second run must not send the ids of the first again.
+        self._ids = rng.integers(0, 2**63, count) ^ secrets.randbits(63)
         self._done = asyncio.Event()
 
     async def run(self, progress: Callable[[float], None] = lambda _: None) -> None:
@@ -244,6 +250,7 @@
             "goodput_per_s": round(good / seconds, 2),
             "lateness_ms": self.clock.lateness_ms(),
             "latency_ms": percentiles_ms(self.whole()),
+            "statuses": {str(status): count for status, count in sorted(self.statuses.items())},
             "classes": {
                 name: {
                     "sent": sum(part.ends.values()),
@@ -256,7 +263,7 @@
         }
 
     def write_hgrm(self, out: IO[bytes]) -> None:
-        """The percentile distribution of all that was served, in milliseconds, as HdrHistogram's tools read it."""
+        """Percentiles of all that was served, in milliseconds, in the form of HdrHistogram's tools."""
         self.whole().output_percentile_distribution(out, 1000.0)
 
 
@@ -307,13 +314,16 @@
     def on_written(self) -> None: ...
 
     def on_reply(self, reply: Reply) -> None:
+        self._load.statuses[reply.status] += 1
         if reply.status == 200:
             self._end(End.SERVED)
         else:
             self._end(End.REFUSED if reply.status in (429, 503) else End.FAILED)
 
     def on_broken(self, first: bool) -> None:
-        if not first and not self._resent:  # a kept connection's close has crossed it: once more, on a new one
+        if (
+            not first and not self._resent
+        ):  # a kept connection's close has crossed it: once more, on a new one
             self._resent = True
             asyncio.get_running_loop().call_soon(self._resend)
         else:
--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -49,6 +49,10 @@
     def find(self, name: bytes) -> Job | None:
         return self._jobs.get(name)
 
+    def adopt(self, name: bytes, job: Job) -> None:
+        """A request that came from elsewhere."""
+        self._jobs[name] = job
+
     def forget(self, name: str) -> None:
         self._jobs.pop(name.encode(), None)
 
@@ -74,6 +78,8 @@
         self.drop_call: Callable[[], None] | None = None  # gives up its call to the next tier
 
 
+# What to make of a request at the front that no client of the day has sent; nothing where it is no request.
+Adopt = Callable[[Exchange, Post], Job | None]
 # Makes a call to the next tier for an endpoint; says later whether it was served. Returns how to give it up.
 CallNext = Callable[[Plan, Job, Callable[[bool], None]], Callable[[], None]]
 
@@ -93,6 +99,7 @@
         jobs: Jobs,
         call_next: CallNext,
         fallen: Callable[[Plan], None],
+        adopt: Adopt,
     ) -> None:
         self.plan = endpoint.plan
         self.endpoint = endpoint
@@ -103,6 +110,7 @@
         self._jobs = jobs
         self._call_next = call_next
         self._fallen = fallen
+        self._adopt = adopt
         self._rng = day.rng(f"machine {self.plan.id}")
         self._running: dict[int, _Running] = {}
         self._serial = 0
@@ -135,7 +143,7 @@
         if name is None:
             exchange.answer(404)
             return
-        job = self._jobs.find(name)
+        job = self._jobs.find(name) or self._adopt(exchange, post)
         text = name.decode("latin-1")
         known = self._judge.attempt(now, exchange.first_us, text, post.name, self.plan)
         if job is None or not known or not _as_sent(exchange, job):
