--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -260,14 +260,15 @@
         station.write_config(known, self.day.seed * 1_000_003 + self._starts)
         if not station.processes:
             self.judge.knows(self.clock.now_us(), name, listing)
-        process = station.start(self._process_ended)
+        try:
+            process = station.start(self._process_ended)
+        except OSError as error:
+            raise DeploymentError(f"sidecar {name} can't be started: {error}", []) from None
         self.targets[name].killed = False
         return process
 
     def _process_ended(self, process: Process, status: int) -> None:
         self.stations[process.name].processes.remove(process)
-        if process.killed:
-            self.targets[process.name].killed = True
         if not process.wanted and not self._closing:
             how = f"ended by signal {-status}" if status < 0 else f"ended with status {status}"
             self._fail(DeploymentError(f"sidecar {process.name} {how}", process.tail()))
@@ -509,6 +510,14 @@
         """The sidecar that belongs to this endpoint."""
         return self._sidecar_of.get(endpoint)
 
+    def kill(self, name: str) -> list[Process]:
+        """Kill all processes of this sidecar: what they held is nobody's fault."""
+        self.targets[name].killed = True
+        killed = list(self.stations[name].processes)
+        for process in killed:
+            process.kill()
+        return killed
+
     def note(self, text: str) -> None:
         """Something that the result should tell."""
         self._notes.append(f"{self.clock.now_us() / 1e6:.1f} s: {text}")
--- a/eiderhub/emulator/processes.py
+++ b/eiderhub/emulator/processes.py
@@ -83,7 +83,6 @@
         self.name = name
         self.log = log
         self.wanted = False
-        self.killed = False
         self.ended = asyncio.Event()
         self._usage = usage
         self._on_end = on_end
@@ -98,7 +97,7 @@
             actions.append((os.POSIX_SPAWN_DUP2, inherited.fileno(), INHERITED))
         try:
             # A group of its own: Ctrl-C at the terminal is ours to pass on, in our order.
-            self.pid = os.posix_spawn(
+            self.pid = os.posix_spawnp(
                 command[0], command, environ, file_actions=actions, setpgroup=0, setsigmask=[]
             )
         finally:
@@ -127,7 +126,7 @@
         self.send(signal.SIGTERM)
 
     def kill(self) -> None:
-        self.wanted = self.killed = True
+        self.wanted = True
         self.send(signal.SIGKILL)
 
     def measure(self) -> tuple[float, float]:
--- a/eiderhub/emulator/troubles.py
+++ b/eiderhub/emulator/troubles.py
@@ -44,6 +44,9 @@
     def launch(self, name: str) -> Process:
         """Start a process of this sidecar."""
 
+    def kill(self, name: str) -> list[Process]:
+        """Kill all processes of this sidecar."""
+
     def beside(self, endpoint: str) -> str | None:
         """The sidecar that belongs to this endpoint."""
 
@@ -162,8 +165,7 @@
         stage.machines[name].die(silent)
         sidecar = stage.beside(name)
         if sidecar is not None:
-            for process in stage.stations[sidecar].processes:
-                process.kill()
+            stage.kill(sidecar)
         stage.registry.gone(stage.clock.now_us(), name, silent)
         stage.roster.moved()
 
@@ -231,9 +233,7 @@
             await process.ended.wait()
 
     async def _kill(self, event: Event) -> None:
-        killed = [p for name in event.sidecars for p in self._stage.stations[name].processes]
-        for process in killed:
-            process.kill()
+        killed = [process for name in event.sidecars for process in self._stage.kill(name)]
         await asyncio.gather(*(process.ended.wait() for process in killed))
         await asyncio.sleep(KILLED_S)
         for name in event.sidecars:
--- a/eiderhub/reading.py
+++ b/eiderhub/reading.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-import difflib
 import enum
-import json
-import tomllib
 import types
 import typing
 from pathlib import Path
@@ -89,8 +86,11 @@
     if len(data) > MOST_BYTES:
         raise DocumentError(str(path), [Fault("", f"over {MOST_BYTES >> 20} MiB: no {form} for us")])
     try:
-        text = data.decode("utf-8")
-        return (tomllib.loads(text) if people else json.loads(text)), people
+        if people:
+            import tomllib  # not with every sidecar, whose memory is bounded
+
+            return tomllib.loads(data.decode("utf-8")), people
+        return msgspec.json.decode(data), people
     except (ValueError, RecursionError) as error:
         raise DocumentError(str(path), [Fault("", f"no {form}: {error}")]) from None
 
@@ -114,6 +114,8 @@
 
 def nearest(name: str, known: typing.Iterable[str]) -> str:
     """A clause that names the known name which this one was meant to be, or all where none is near."""
+    import difflib  # only for those who have mistyped something
+
     known = list(known)
     near = difflib.get_close_matches(name, known, 1, 0.6)
     return f"did you mean {near[0]}?" if near else f"there are {', '.join(known)}"
--- a/eiderhub/sidecar/handover.py
+++ b/eiderhub/sidecar/handover.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import fcntl
-import json
 import math
 import os
 import socket
@@ -15,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from eiderhub.interface import EndpointMemory, Memory, PoolMemory
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import ConfigError
@@ -105,7 +106,7 @@
     # Not UTC: the machine's monotonic clock is common to its processes, and never set.
     document = {"at_us": now_us(), "pools": memory.pools, "endpoints": memory.endpoints}
     try:
-        beside.write_text(json.dumps(document), encoding="utf-8")
+        beside.write_bytes(msgspec.json.encode(document))
         beside.replace(path)
     except OSError:
         beside.unlink(missing_ok=True)
@@ -115,7 +116,7 @@
     """What the process in service has learned, or nothing where that can't be told for sure."""
     try:
         with (Path(directory) / LEARNED).open("rb") as file:
-            document = json.loads(file.read(MOST_BYTES))
+            document = msgspec.json.decode(file.read(MOST_BYTES))
         if not 0 <= now_us() - int(document["at_us"]) <= FRESH_US:
             return None
         return Memory(
