--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import shutil
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -12,7 +13,7 @@
 
 from eiderhub.emulator.callers import Outside, Target, Try
 from eiderhub.emulator.clock import IN_DOUBT_MS, Clock
-from eiderhub.emulator.http import Exchange, Pool, Reply
+from eiderhub.emulator.http import OUR_LIMIT, Exchange, Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs, Machine
 from eiderhub.emulator.processes import (
     Process,
@@ -102,6 +103,17 @@
         }
 
 
+def _few_descriptors() -> DeploymentError:
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    return DeploymentError(f"the emulator itself ran out of descriptors; `ulimit -n` allows it {most}", [])
+
+
+def _use_all_descriptors() -> None:
+    """Take what the system allows: each sidecar has an address of its own at each endpoint."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 class _Nobody:
     """Takes an answer to /up; a future would leave nobody to tell of a broken connection."""
 
@@ -155,6 +167,7 @@
         self._keep = keep  # where the sidecars' logs are kept afterwards
         self._chores: set[asyncio.Task[None]] = set()
         self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        _use_all_descriptors()
         self.folder = new_folder()
         self._closing = False
         self._starts = 0
@@ -163,8 +176,13 @@
         self._build()
 
     async def __aenter__(self) -> Deployment:
+        # A defect in a callback must end the run, not only be logged: the figures would be wrong.
+        asyncio.get_running_loop().set_exception_handler(self._defect)
         try:
             await self._watched(self._start())
+        except OSError as error:
+            await self.close()
+            raise _few_descriptors() if error.errno in OUR_LIMIT else error from None
         except BaseException:
             await self.close()
             raise
@@ -238,14 +256,19 @@
             )
             self.launch(name)
         self._chore(self._watch_memory())
-        async with asyncio.timeout(READY_S):
-            try:
-                await asyncio.gather(*(self.until_up(name) for name in self.stations))
-            except TimeoutError:
-                late = [name for name in self.stations if not await self.says_yes(name)]
-                raise DeploymentError(
-                    f"{', '.join(late[:5])}: not ready after {READY_S:g} s", self._tail(late[0])
-                ) from None
+        ready: set[str] = set()
+
+        async def until_ready(name: str) -> None:
+            await self.until_up(name)
+            ready.add(name)
+
+        try:
+            async with asyncio.timeout(READY_S):
+                await asyncio.gather(*(until_ready(name) for name in self.stations))
+        except TimeoutError:
+            late = [name for name in self.stations if name not in ready]
+            why = f"{', '.join(late[:5])}: not ready after {READY_S:g} s"
+            raise DeploymentError(why, self._tail(late[0])) from None
         self.clock.begin()
         self.roster.moved()
         for post in self.day.tier_posts(0):
@@ -273,6 +296,15 @@
             how = f"ended by signal {-status}" if status < 0 else f"ended with status {status}"
             self._fail(DeploymentError(f"sidecar {process.name} {how}", process.tail()))
 
+    def _defect(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if isinstance(error, OSError) and error.errno in OUR_LIMIT:
+            error = _few_descriptors()
+        if error is not None:
+            self._fail(error)
+        else:
+            loop.default_exception_handler(context)
+
     def _fail(self, error: BaseException) -> None:
         if not self._failed.done():
             self._failed.set_exception(error)
--- a/eiderhub/emulator/doors.py
+++ b/eiderhub/emulator/doors.py
@@ -47,6 +47,8 @@
                 backlog=BACKLOG,
                 reuse_address=True,
             )
+            if not self._server.sockets:  # uvloop says nothing where no socket could be made
+                raise OSError(errno.EMFILE, "no descriptor is left for a listening address")
             self.port = self._server.sockets[0].getsockname()[1]
 
     def shut(self, reset: bool = True) -> None:
--- a/eiderhub/emulator/http.py
+++ b/eiderhub/emulator/http.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 
 import httptools
 
+OUR_LIMIT = (errno.EMFILE, errno.ENFILE)  # no descriptor is left in this process, or on this machine
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -257,16 +259,24 @@
         else:
             task = asyncio.get_running_loop().create_task(self._connect(data, asker, ticket))
             self._connecting.add(task)
-            task.add_done_callback(self._connecting.discard)
+            task.add_done_callback(self._connected)
         return ticket
 
+    def _connected(self, task: asyncio.Task[None]) -> None:
+        self._connecting.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            told = {"message": f"no connection to {self.host}:{self.port}", "exception": error}
+            asyncio.get_running_loop().call_exception_handler(told)
+
     async def _connect(self, data: bytes, asker: Asker, ticket: Ticket) -> None:
         connection = ClientConnection(self)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_s):
                 await loop.create_connection(lambda: connection, self.host, self.port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in OUR_LIMIT:
+                raise  # that says nothing of the other side
             if not ticket.dropped:
                 asker.on_unreachable()
             return
--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -168,11 +168,11 @@
         token = self._serial
         job = running.job
         calls = calls_at(self._day, self.plan.tier, self._rng)
-        work = Work(
-            token, work_at(self._day, self.plan, job.work_us, self._rng), calls, job.key, job.until_us
-        )
+        own_us = work_at(self._day, self.plan, job.work_us, self._rng)
+        work = Work(token, own_us, calls, job.key)
         told = self._judge.told_of_start(running.post.name, self.plan.id, self.endpoint.started_us)
-        offer = self.endpoint.offer(now, work, told)
+        connections = sum(len(door.connections) for door in self.doors.values())
+        offer = self.endpoint.offer(now, work, told, connections)
         if offer is Offer.TAKEN:
             self._running[token] = running
             running.exchange.on_gone = lambda _: self._left(token, running)
--- a/eiderhub/world/endpoint.py
+++ b/eiderhub/world/endpoint.py
@@ -64,7 +64,6 @@
     work_us: float  # its own work at this endpoint
     calls: int  # to the next tier, still to be made
     key: str | None = None  # repeats of the same key are dropped
-    until_us: int | None = None
     calling: bool = False
     running: bool = False
     parts: int = field(init=False)
@@ -147,8 +146,11 @@
 
     # --- requests ---
 
-    def offer(self, now_us: int, work: Work, told: bool) -> Offer:
-        """A request has arrived whole; `told` says whether its sender knows when this endpoint started."""
+    def offer(self, now_us: int, work: Work, told: bool, connections: int = 1) -> Offer:
+        """A request has arrived whole.
+
+        `told` says whether its sender knows when this endpoint started, `connections` how many are open here.
+        """
         if self.state is State.DOWN:
             return Offer.REFUSED
         self._settle(now_us)
@@ -156,7 +158,8 @@
             return Offer.REFUSED
         hung = now_us < self.hung_until_us
         full = self._held >= self.plan.slots and len(self._queue) >= self.plan.queue
-        if self.state is State.DRAINING or (full and not hung):
+        crowd = connections > self.plan.connections
+        if self.state is State.DRAINING or crowd or (full and not hung):
             return Offer.DECLINED
         self._work[work.token] = work
         if work.key is not None and self._dedup is not None and self._dedup.done(now_us, work.key):
