--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -1239,7 +1239,8 @@
         e.ejected_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
         e.failing = 0.0
         e.on_trial = True
-        self.actions.write_log(f"endpoint {e.id} ejected for {(e.ejected_until - now) / 1e6:.1f} s: it fails")
+        seconds = round((e.ejected_until - now) / 1e6, 1)
+        self.actions.write_log("ejected", endpoint=e.id, reason="it fails", seconds=seconds)
 
     def _again(self, now: int, call: Call, outcome: Outcome) -> None:
         """All attempts ended without an answer: send another where that is legal and wise, or give up."""
@@ -1267,8 +1268,12 @@
             for name, pool in zip(("near", "far"), placement.pools, strict=True)
         )
         self.actions.write_log(
-            f"given up: {reasons}; held {self.queue.count}, ratio {self.ratio.value:.2f}, "
-            f"scarcity {self.scarcity:.2f}; {pools}"
+            "state",
+            given_up=reasons,
+            held=self.queue.count,
+            ratio=round(self.ratio.value, 2),
+            scarcity=round(self.scarcity, 2),
+            pools=pools,
         )
 
     def expired(self, now_us: int, call: str) -> None:
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -249,8 +249,8 @@
     def disconnect(self, endpoint: str) -> None:
         """Close this instance's idle connections to the endpoint."""
 
-    def write_log(self, text: str) -> None:
-        """A line for those on call."""
+    def write_log(self, text: str, **fields: str | int | float) -> None:
+        """A line for those on call: what it is about, and the figures and names that belong to it."""
 
 
 class Events(Protocol):
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -128,7 +128,9 @@
         try:
             event(now_us(), *values)
         except Exception:
-            log.exception("the module failed", event_name=getattr(event, "__name__", "wake"))
+            about = self.requests.get(values[0]) if values and isinstance(values[0], str) else None
+            request = about.id.decode("latin-1") if about is not None else None
+            log.exception("the module failed", during=getattr(event, "__name__", "wake"), request=request)
             return False
         return True
 
@@ -335,8 +337,8 @@
     def disconnect(self, endpoint: str) -> None:
         self.upstream.close_idle(endpoint)
 
-    def write_log(self, text: str) -> None:
-        log.info(text, source="module")
+    def write_log(self, text: str, **fields: str | int | float) -> None:
+        log.info(text, source="module", **fields)
 
     # --- discovery ---
 
--- a/eiderhub/wirehost.py
+++ b/eiderhub/wirehost.py
@@ -60,8 +60,9 @@
     def disconnect(self, endpoint: str) -> None:
         self.out.append(f"disconnect {self.name} {endpoint}")
 
-    def write_log(self, text: str) -> None:
-        self.out.append(f"write_log {self.name} {text}")
+    def write_log(self, text: str, **fields: str | int | float) -> None:
+        told = "".join(f" {name}={value}" for name, value in fields.items())
+        self.out.append(f"write_log {self.name} {text}{told}")
 
 
 def _int(text: str, what: str) -> int:
--- a/tests/support.py
+++ b/tests/support.py
@@ -91,8 +91,8 @@
     def disconnect(self, endpoint: str) -> None:
         self.did.append(("disconnect", endpoint))
 
-    def write_log(self, text: str) -> None:
-        self.did.append(("write_log", text))
+    def write_log(self, text: str, **fields: str | int | float) -> None:
+        self.did.append(("write_log", text, fields))
 
     # driving
     def order(self, grade: str = "look", tenant: str = "small", left: int = 3 * S) -> str:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -450,7 +450,7 @@
             if call in host.sent:
                 ill = host.sent[call] == [silent]
                 host.reply(call, Outcome.TIMEOUT if ill else Outcome.OK, spent=600 * MS)
-    assert any(d[0] == "write_log" and d[1].startswith(f"endpoint {silent} ejected") for d in host.did)
+    assert any(d[:2] == ("write_log", "ejected") and d[2]["endpoint"] == silent for d in host.did)
 
 
 def test_mute_endpoint_is_avoided_and_leaves_at_its_first_time_out() -> None:
@@ -608,10 +608,11 @@
     host.order()
     host.advance(6 * S)
     host.order()
-    lines = [d[1] for d in host.did if d[0] == "write_log"]
+    lines = [d[2] for d in host.did if d[:2] == ("write_log", "state")]
     assert len(lines) == 1
-    assert lines[0].startswith("given up: held too long 2, sojourn 1; held 0, ratio 1.00")
-    assert "near 4 endpoints, cap 6.0" in lines[0]
+    assert lines[0]["given_up"] == "held too long 2, sojourn 1"
+    assert (lines[0]["held"], lines[0]["ratio"]) == (0, 1.0)
+    assert "near 4 endpoints, cap 6.0" in lines[0]["pools"]
 
 
 def test_successor_starts_with_caps_and_ejections_of_the_process_before_it() -> None:
