--- /dev/null
+++ b/eiderhub/emulator/asking.py
@@ -0,0 +1,82 @@
+"""One request, from its sending to its end: its patience, and the one time that it may be sent again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from eiderhub.emulator.clock import Clock
+from eiderhub.emulator.http import Pool, Reply
+from eiderhub.world.clients import End
+
+
+class Asking:
+    """Who asks says what an answer means, and hears of one end."""
+
+    def __init__(self, clock: Clock, pool: Pool, data: bytes, until_us: int) -> None:
+        self.clock = clock
+        self.until_us = until_us
+        self._pool = pool
+        self._data = data
+        self._over = False
+        self._resent = False
+        self._alarm = clock.at(until_us, self._give_up)
+        self._ticket = pool.ask(data, self)
+
+    # --- for who asks to say ---
+
+    def meaning(self, reply: Reply) -> End:
+        """How a whole answer ends the request."""
+        raise NotImplementedError
+
+    def crossed(self, first: bool) -> bool:
+        """The connection ended without an answer: did that cross the request, unread, on its way?
+
+        Then it is sent once more on a new connection. `first`: the connection had carried nothing before.
+        """
+        raise NotImplementedError
+
+    def ended(self, end: End, reply: Reply | None) -> None:
+        raise NotImplementedError
+
+    def left(self) -> None:
+        """The connection was closed: nobody waits for the answer any more."""
+
+    # --- its course ---
+
+    def drop(self) -> None:
+        """Nobody waits for it any more, and nobody is told of its end."""
+        self._over = True
+        self._alarm.cancel()
+        self._ticket.drop()
+        self.left()
+
+    def _give_up(self) -> None:
+        """The time for it is over: its caller closes the connection and goes."""
+        if not self._over:
+            self.drop()
+            self.ended(End.GIVEN_UP, None)
+
+    def _end(self, end: End, reply: Reply | None = None) -> None:
+        if not self._over:
+            self._over = True
+            self._alarm.cancel()
+            self.ended(end, reply)
+
+    def on_written(self) -> None: ...
+
+    def on_reply(self, reply: Reply) -> None:
+        self._end(self.meaning(reply), reply)
+
+    def on_broken(self, first: bool) -> None:
+        if self.crossed(first) and not self._resent and self.clock.now_us() < self.until_us:
+            self._resent = True
+            asyncio.get_running_loop().call_soon(self._resend)
+        else:
+            self._end(End.BROKEN)
+
+    def _resend(self) -> None:
+        if not self._over:
+            self._ticket = self._pool.ask(self._data, self, fresh=True)
+
+    def on_unreachable(self) -> None:
+        self._end(End.UNREACHABLE)
--- a/eiderhub/emulator/callers.py
+++ b/eiderhub/emulator/callers.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 
+from eiderhub.emulator.asking import Asking
 from eiderhub.emulator.clock import Clock
-from eiderhub.emulator.http import Pool, Reply, Ticket
+from eiderhub.emulator.http import Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End, Errand, patience_us, retry_us
@@ -46,7 +46,7 @@
         self.killed = False  # its last process was killed: what it held is nobody's fault
 
 
-class Try:
+class Try(Asking):
     """One request to one sidecar, from its sending to its end."""
 
     def __init__(
@@ -60,75 +60,38 @@
         repeat: bool,
         on_end: Callable[[End, int], None],
     ) -> None:
-        self._clock = clock
         self._judge = judge
         self._jobs = jobs
         self._target = target
         self._job = job
         self._on_end = on_end
-        self._resent = False
         self._written = False
-        self._over = False
-        self._until_us = clock.now_us() + patience_us
         self.name = jobs.new(job)
-        self._data = render(self.name, job, patience_us, repeat)
-        self._alarm = clock.at(self._until_us, self._give_up)
-        self._ticket: Ticket = target.pool.ask(self._data, self)
-
-    def _end(self, end: End, retry_after_us: int = 0) -> None:
-        if not self._over:
-            self._over = True
-            self._alarm.cancel()
-            self._on_end(end, retry_after_us)
-
-    def _give_up(self) -> None:
-        """The time for this try is over: its caller closes the connection and goes."""
-        self._hang_up()
-        self._end(End.GIVEN_UP)
-
-    def drop(self) -> None:
-        """Nobody waits for it any more, and nobody is told of its end."""
-        self._over = True
-        self._alarm.cancel()
-        self._hang_up()
-
-    def _hang_up(self) -> None:
-        self._ticket.drop()
-        if self._written:
-            self._judge.gave_up(self.name)
-
-    # --- what the connection tells ---
+        data = render(self.name, job, patience_us, repeat)
+        super().__init__(clock, target.pool, data, clock.now_us() + patience_us)
 
     def on_written(self) -> None:
         self._written = True
         self._judge.taken(self.name, self._target.post.name, self._job.grade)
 
-    def on_reply(self, reply: Reply) -> None:
+    def meaning(self, reply: Reply) -> End:
         produced = self._jobs.was_produced(self.name, reply.body)
-        self._judge.answered(self._clock.now_us(), self.name, reply.status, produced)
+        self._judge.answered(self.clock.now_us(), self.name, reply.status, produced)
         if reply.status == 200 and produced:
-            self._end(End.SERVED)
-        elif reply.status in (429, 503):
-            self._end(End.REFUSED, reply.retry_after_us)
-        else:
-            self._end(End.FAILED)
+            return End.SERVED
+        return End.REFUSED if reply.status in (429, 503) else End.FAILED
 
-    def on_broken(self, first: bool) -> None:
-        now = self._clock.now_us()
-        fate = self._judge.cut_short(now, self.name, first, self._target.killed)
-        if fate is Fate.UNREAD and not self._resent and now < self._until_us:
-            # It crossed the close: sent once more, with the time that is left to it.
-            self._resent = True
-            asyncio.get_running_loop().call_soon(self._resend)
-        else:
-            self._end(End.BROKEN)
-
-    def _resend(self) -> None:
-        if not self._over:
-            self._ticket = self._target.pool.ask(self._data, self, fresh=True)
-
-    def on_unreachable(self) -> None:
-        self._end(End.UNREACHABLE)
+    def crossed(self, first: bool) -> bool:
+        return (
+            self._judge.cut_short(self.clock.now_us(), self.name, first, self._target.killed) is Fate.UNREAD
+        )
+
+    def left(self) -> None:
+        if self._written:
+            self._judge.gave_up(self.name)
+
+    def ended(self, end: End, reply: Reply | None) -> None:
+        self._on_end(end, reply.retry_after_us if reply is not None else 0)
 
 
 class Outside:
--- a/eiderhub/emulator/load.py
+++ b/eiderhub/emulator/load.py
@@ -20,8 +20,9 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
+from eiderhub.emulator.asking import Asking
 from eiderhub.emulator.clock import Clock
-from eiderhub.emulator.http import Pool, Reply, Ticket
+from eiderhub.emulator.http import Pool, Reply
 from eiderhub.interface import Effect
 from eiderhub.reading import DocumentError, Fault
 from eiderhub.world.clients import End
@@ -280,62 +281,27 @@
     return {**found, "max": histogram.get_max_value() / 1000}
 
 
-class _Shot:
+class _Shot(Asking):
     """One request on its way."""
 
-    __slots__ = ("_alarm", "_data", "_load", "_over", "_pool", "_resent", "_ticket", "due_us", "shape")
-
     def __init__(self, load: Load, number: int) -> None:
         self._load = load
-        self.shape, self._data = load.request(number)
+        self.shape, data = load.request(number)
         self.due_us = int(load.due_s[number] * 1e6)
-        self._over = False
-        self._resent = False
-        self._pool = load.pools[number % len(load.pools)]
-        self._alarm = load.clock.at(self.due_us + self.shape.deadline_ms * 1000, self._give_up)
-        self._ticket: Ticket = self._pool.ask(self._data, self)
-
-    def _end(self, end: End) -> None:
-        if not self._over:
-            self._over = True
-            self._alarm.cancel()
-            self._load.ended(self, end)
-
-    def drop(self) -> None:
-        self._over = True
-        self._alarm.cancel()
-        self._ticket.drop()
-
-    def _give_up(self) -> None:
-        self._ticket.drop()
-        self._end(End.GIVEN_UP)
+        pool = load.pools[number % len(load.pools)]
+        super().__init__(load.clock, pool, data, self.due_us + self.shape.deadline_ms * 1000)
 
-    # --- what the connection tells ---
-
-    def on_written(self) -> None: ...
-
-    def on_reply(self, reply: Reply) -> None:
+    def meaning(self, reply: Reply) -> End:
         self._load.statuses[reply.status] += 1
         if reply.status == 200:
-            self._end(End.SERVED)
-        else:
-            self._end(End.REFUSED if reply.status in (429, 503) else End.FAILED)
-
-    def on_broken(self, first: bool) -> None:
-        if (
-            not first and not self._resent
-        ):  # a kept connection's close has crossed it: once more, on a new one
-            self._resent = True
-            asyncio.get_running_loop().call_soon(self._resend)
-        else:
-            self._end(End.BROKEN)
+            return End.SERVED
+        return End.REFUSED if reply.status in (429, 503) else End.FAILED
 
-    def _resend(self) -> None:
-        if not self._over:
-            self._ticket = self._pool.ask(self._data, self, fresh=True)
+    def crossed(self, first: bool) -> bool:
+        return not first  # a kept connection's close
 
-    def on_unreachable(self) -> None:
-        self._end(End.UNREACHABLE)
+    def ended(self, end: End, reply: Reply | None) -> None:
+        self._load.ended(self, end)
 
 
 def steps(text: str) -> Iterator[float]:
