Share each class's memory of keys as its group says, and forget requests that are long over

Endpoints shared one memory of keys by zone, whatever the class's group was. A deployment that stays up grew by each request; requests are forgotten a minute after their time was over.

--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -29,7 +29,7 @@
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End, arrivals
 from eiderhub.world.day import Day, Plan, Post
-from eiderhub.world.endpoint import DedupGroup, Endpoint
+from eiderhub.world.endpoint import Endpoint, dedup_groups
 from eiderhub.world.front import Front
 from eiderhub.world.judge import Judge, Verdict
 from eiderhub.world.network import Network, spread
@@ -40,6 +40,8 @@
 UP_EVERY_S = 0.05  # how often a sidecar that starts is asked
 UP_WAIT_S = 1.0  # for an answer to /up
 MEMORY_EVERY_S = 0.25
+FORGET_EVERY_S = 5.0
+FORGET_US = 60_000_000  # after its time was over, nothing comes of a request any more
 UP = b"GET /up HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n"
 
 
@@ -205,12 +207,10 @@
         self.roster = Roster(
             self.registry, self.clock, self.judge, lambda e, s: self.machines[e].doors[s].address
         )
-        groups: dict[object, DedupGroup] = {}
-        window_us = int(max((g.spec.window_ms for g in day.grades), default=0) * 1000)
+        groups = dedup_groups(day)
         self.machines: dict[str, Machine] = {}
         for number, plan in enumerate(day.plans):
-            group = groups.setdefault((plan.tier, plan.zone), DedupGroup(window_us))
-            endpoint = Endpoint(plan, day.rng(f"endpoint {plan.id}"), group)
+            endpoint = Endpoint(plan, day.rng(f"endpoint {plan.id}"))
             self.machines[plan.id] = Machine(
                 day,
                 endpoint,
@@ -220,6 +220,7 @@
                 self.network,
                 self.judge,
                 self.jobs,
+                groups,
                 self._call_next,
                 self._fell,
                 self._adopt,
@@ -256,6 +257,7 @@
             )
             self.launch(name)
         self._chore(self._watch_memory())
+        self._chore(self._forget())
         ready: set[str] = set()
 
         async def until_ready(name: str) -> None:
@@ -320,7 +322,10 @@
 
         def ended(task: asyncio.Task[None]) -> None:
             self._chores.discard(task)
-            if not task.cancelled() and (error := task.exception()) is not None:
+            error = None if task.cancelled() else task.exception()
+            while isinstance(error, BaseExceptionGroup):  # of tasks that a chore had begun
+                error = error.exceptions[0]
+            if error is not None:
                 self._fail(error)
 
         task.add_done_callback(ended)
@@ -359,6 +364,12 @@
             else:
                 self.front.answered(self.clock.now_us(), post.name, yes)
 
+    async def _forget(self) -> None:
+        """Requests that are long over: a deployment may stay up for days."""
+        while True:
+            await asyncio.sleep(FORGET_EVERY_S)
+            self.judge.forget(self.jobs.forget(self.clock.now_us() - FORGET_US))
+
     async def _watch_memory(self) -> None:
         """The platform's limit: whoever is over it is killed, and has crashed."""
         while True:
--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from eiderhub.emulator.clock import Clock
@@ -12,7 +12,7 @@
 from eiderhub.interface import Effect
 from eiderhub.world.clients import calls_at, work_at
 from eiderhub.world.day import Day, Grade, Plan, Post
-from eiderhub.world.endpoint import Answer, Call, Endpoint, Fell, Offer, State, Work
+from eiderhub.world.endpoint import Answer, Call, DedupGroup, Endpoint, Fell, Offer, State, Work
 from eiderhub.world.judge import Judge
 from eiderhub.world.network import Network
 
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self._jobs: dict[bytes, Job] = {}
-        self._produced: set[bytes] = set()
+        self._produced: dict[bytes, set[bytes]] = {}
         self._serial = 0
 
     def new(self, job: Job) -> str:
@@ -53,16 +53,21 @@
         """A request that came from elsewhere."""
         self._jobs[name] = job
 
-    def forget(self, name: str) -> None:
-        self._jobs.pop(name.encode(), None)
+    def forget(self, before_us: int) -> list[str]:
+        """Those whose time was over by then; returns them."""
+        old = [name for name, job in self._jobs.items() if job.until_us < before_us]
+        for name in old:
+            del self._jobs[name]
+            self._produced.pop(name, None)
+        return [name.decode("latin-1") for name in old]
 
     def produce(self, name: bytes, endpoint: str) -> bytes:
         body = name + b" " + endpoint.encode()
-        self._produced.add(body)
+        self._produced.setdefault(name, set()).add(body)
         return body
 
     def was_produced(self, name: str, body: bytes) -> bool:
-        return body in self._produced and body.startswith(name.encode() + b" ")
+        return body in self._produced.get(name.encode(), ())
 
 
 class _Running:
@@ -97,6 +102,7 @@
         network: Network,
         judge: Judge,
         jobs: Jobs,
+        groups: Mapping[tuple[str, str], DedupGroup],
         call_next: CallNext,
         fallen: Callable[[Plan], None],
         adopt: Adopt,
@@ -108,6 +114,7 @@
         self._network = network
         self._judge = judge
         self._jobs = jobs
+        self._groups = groups
         self._call_next = call_next
         self._fallen = fallen
         self._adopt = adopt
@@ -169,7 +176,7 @@
         job = running.job
         calls = calls_at(self._day, self.plan.tier, self._rng)
         own_us = work_at(self._day, self.plan, job.work_us, self._rng)
-        work = Work(token, own_us, calls, job.key)
+        work = Work(token, own_us, calls, job.key, self._groups.get((self.plan.id, job.grade.name)))
         told = self._judge.told_of_start(running.post.name, self.plan.id, self.endpoint.started_us)
         connections = sum(len(door.connections) for door in self.doors.values())
         offer = self.endpoint.offer(now, work, told, connections)
--- a/eiderhub/world/endpoint.py
+++ b/eiderhub/world/endpoint.py
@@ -10,7 +10,8 @@
 
 import numpy as np
 
-from eiderhub.world.day import Plan
+from eiderhub.interface import Effect, Group
+from eiderhub.world.day import Day, Plan
 from eiderhub.world.processor import Processor
 
 FALL_SLACK_US = 500_000  # of work, by which a cold endpoint's budget may be overdrawn by chance
@@ -56,22 +57,6 @@
     DOWN = "down"
 
 
-@dataclass(slots=True, eq=False)
-class Work:
-    """One request here."""
-
-    token: Hashable
-    work_us: float  # its own work at this endpoint
-    calls: int  # to the next tier, still to be made
-    key: str | None = None  # repeats of the same key are dropped
-    calling: bool = False
-    running: bool = False
-    parts: int = field(init=False)
-
-    def __post_init__(self) -> None:
-        self.parts = self.calls + 1  # own work comes in equal parts before, between and after the calls
-
-
 class DedupGroup:
     """What the endpoints of one group remember of the keys that they have served."""
 
@@ -93,10 +78,42 @@
         self._served[key] = now_us
 
 
+@dataclass(slots=True, eq=False)
+class Work:
+    """One request here."""
+
+    token: Hashable
+    work_us: float  # its own work at this endpoint
+    calls: int  # to the next tier, still to be made
+    key: str | None = None
+    dedup: DedupGroup | None = None  # where a repeat of the key is dropped
+    calling: bool = False
+    running: bool = False
+    parts: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.parts = self.calls + 1  # own work comes in equal parts before, between and after the calls
+
+
+def dedup_groups(day: Day) -> dict[tuple[str, str], DedupGroup]:
+    """For each endpoint and class with keys, whom it shares its memory of them with."""
+    groups: dict[tuple[str, int, str], DedupGroup] = {}
+    found = {}
+    for grade in day.grades:
+        spec = grade.spec
+        if spec.effect is not Effect.DEDUPLICATED:
+            continue
+        for plan in day.plans:
+            place = {Group.ALL: "", Group.ZONE: plan.zone, Group.CELL: str(plan.cell)}[spec.group]
+            group = groups.setdefault((grade.name, plan.tier, place), DedupGroup(int(spec.window_ms * 1000)))
+            found[plan.id, grade.name] = group
+    return found
+
+
 class Endpoint:
     """Told the time with every call; `advance` says what has happened by then."""
 
-    def __init__(self, plan: Plan, rng: np.random.Generator, dedup: DedupGroup | None = None) -> None:
+    def __init__(self, plan: Plan, rng: np.random.Generator) -> None:
         self.plan = plan
         self.state = State.UP
         self.started_us: int | None = None  # None: long ago, and warm
@@ -107,7 +124,6 @@
         self.choked_ever = False
         self.wasted_us = 0.0  # work done for requests that nobody waits for
         self.done_us = 0.0
-        self._dedup = dedup
         self._rng = rng
         self._cpu = Processor(plan.cores, plan.speed)
         self._work: dict[Hashable, Work] = {}
@@ -162,7 +178,7 @@
         if self.state is State.DRAINING or crowd or (full and not hung):
             return Offer.DECLINED
         self._work[work.token] = work
-        if work.key is not None and self._dedup is not None and self._dedup.done(now_us, work.key):
+        if work.key is not None and work.dedup is not None and work.dedup.done(now_us, work.key):
             work.calls, work.work_us = 0, 0.0  # the repeat is dropped: what there was is told again
         if self._held < self.plan.slots:
             self._start(now_us, work)
@@ -306,8 +322,8 @@
             self._said.append(Call(work.token))
             return
         served = self._rng.random() >= self.plan.error_rate
-        if served and work.key is not None and self._dedup is not None:
-            self._dedup.remember(now_us, work.key)
+        if served and work.key is not None and work.dedup is not None:
+            work.dedup.remember(now_us, work.key)
         self._end(now_us, work, served)
 
     def _end(self, now_us: int, work: Work, served: bool) -> None:
--- a/eiderhub/world/judge.py
+++ b/eiderhub/world/judge.py
@@ -180,6 +180,11 @@
         """The client has closed its connection."""
         self._requests[request].over = True
 
+    def forget(self, requests: Iterable[str]) -> None:
+        """Nothing can come of these any more."""
+        for request in requests:
+            self._requests.pop(request, None)
+
     # --- rules 2 and 3: attempts ---
 
     def attempt(self, now_us: int, first_us: int, request: str, sidecar: str, plan: Plan) -> bool:
