--- a/eiderhub/cli/config.py
+++ b/eiderhub/cli/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import re
 from typing import Any
 
@@ -10,7 +11,8 @@
 import msgspec
 import tomli_w
 
-from eiderhub.sidecar.config import Document, read_document
+from eiderhub.reading import DocumentError, Fault
+from eiderhub.sidecar.config import ConfigError, Document, config_of, read_document
 from eiderhub.world import scenario as scenarios
 
 CAMEL = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
@@ -33,7 +35,12 @@
 @SCENARIO
 def check(path: str, scenario: bool) -> None:
     """Say all that is wrong with FILE, one line a fault; exit status 2 if anything is."""
-    _read(path, scenario)
+    found = _read(path, scenario)
+    if isinstance(found, Document):
+        try:
+            config_of(found, os.environ)
+        except ConfigError as error:
+            raise DocumentError(path, [Fault("", str(error))]) from None
     click.echo(f"{path}: ok")
 
 
--- a/eiderhub/cli/emulate.py
+++ b/eiderhub/cli/emulate.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import shutil
 from pathlib import Path
 
 import click
@@ -86,6 +85,5 @@
             table.add_row(name, station.post.zone, f"{station.host}:{station.port}", station.management)
     out.print(table)
     first = next(iter(deployment.stations.values()))
-    width = shutil.get_terminal_size().columns
     hint = f"ottercleat load {first.host}:{first.port} --config {first.config}"
-    out.print(hint, soft_wrap=len(hint) > width, highlight=False)
+    out.print(hint, soft_wrap=True, highlight=False)
--- a/eiderhub/cli/run.py
+++ b/eiderhub/cli/run.py
@@ -32,6 +32,8 @@
     try:
         config_of(read_document(path), environ)
     except ConfigError as error:
-        raise click.UsageError(f"{path}: {error}") from None
+        variable, _, why = str(error).partition(": ")
+        flag = f"--{variable.removeprefix('GW_').lower()}" if variable in told else f"{path}: {variable}"
+        raise click.UsageError(f"{flag}: {why}") from None
     # The same process from here on, without the command line's modules.
     os.execve(sys.executable, [sys.executable, "-B", "-m", "eiderhub.sidecar"], environ)
