--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -25,7 +25,7 @@
     """What a request id stands for, whoever sends it."""
 
     grade: Grade
-    work_us: float  # the errand's, over all tiers
+    work_us: float  # the errand's
     tenant: str | None
     key: str | None
     until_us: int
--- a/eiderhub/world/clients.py
+++ b/eiderhub/world/clients.py
@@ -36,7 +36,7 @@
     grade: Grade
     tenant: str | None
     zone: str
-    work_us: float  # over all tiers, for a share of 1
+    work_us: float  # of which each tier takes its share for each call
     key: str | None
     honours: bool  # whether it follows Retry-After
     within_share: bool = True
--- a/eiderhub/world/day.py
+++ b/eiderhub/world/day.py
@@ -159,8 +159,14 @@
         """A generator of this day's own for one purpose: no part of the world disturbs another's draws."""
         return np.random.default_rng([self.seed, *stream.encode()])
 
-    def tier_plans(self, tier: int) -> list[Plan]:
-        return [plan for plan in self.plans if plan.tier == tier]
+    @property
+    def work_factor(self) -> float:
+        """A request's work over all tiers, in multiples of its class's: deeper calls are made more often."""
+        fan, factor = 1.0, 0.0
+        for tier, calls in zip(self.scenario.tier, self.calls, strict=True):
+            factor += fan * tier.work
+            fan *= calls
+        return factor
 
     def tier_posts(self, tier: int) -> list[Post]:
         return [post for post in self.posts if post.tier == tier]
--- a/eiderhub/world/endpoint.py
+++ b/eiderhub/world/endpoint.py
@@ -32,7 +32,6 @@
 
     token: Hashable
     served: bool
-    repeat: bool = False  # it was not done again: an earlier one with its key had been
 
 
 class Call(NamedTuple):
@@ -123,7 +122,6 @@
         self.choked_us: int | None = None  # since when
         self.choked_ever = False
         self.wasted_us = 0.0  # work done for requests that nobody waits for
-        self.done_us = 0.0
         self._rng = rng
         self._cpu = Processor(plan.cores, plan.speed)
         self._work: dict[Hashable, Work] = {}
@@ -156,10 +154,6 @@
             return 1.0
         return plan.cold_from + (1 - plan.cold_from) * max(0.0, gained)
 
-    def alive(self, now_us: int) -> bool:
-        """Whether it answers anything at all."""
-        return self.state is not State.DOWN and now_us >= self.hung_until_us
-
     # --- requests ---
 
     def offer(self, now_us: int, work: Work, told: bool, connections: int = 1) -> Offer:
@@ -316,7 +310,6 @@
         work.running = False
         part = work.work_us / work.parts
         self._warm_work += part
-        self.done_us += part
         if work.calls > 0:
             work.calling = True
             self._said.append(Call(work.token))
@@ -327,7 +320,7 @@
         self._end(now_us, work, served)
 
     def _end(self, now_us: int, work: Work, served: bool) -> None:
-        self._said.append(Answer(work.token, served, repeat=work.work_us == 0))
+        self._said.append(Answer(work.token, served))
         self._free(now_us, work)
 
     def _free(self, now_us: int, work: Work) -> None:
@@ -352,7 +345,7 @@
         speed = plan.speed * self.warmth(now_us) / self.slowed
         if self.choked_us is not None and plan.choke is not None:
             speed /= plan.choke.slower
-        over = len(self._work) / plan.crowded_from - 1
+        over = self.in_work / plan.crowded_from - 1
         if over > 0:
             speed /= 1 + plan.crowding * over
         if now_us < self.hung_until_us or now_us < self.paused_until_us:
--- a/eiderhub/world/judge.py
+++ b/eiderhub/world/judge.py
@@ -334,7 +334,7 @@
             + goal.worst_class * worst_class
             + goal.worst_tenant * worst_tenant
         )
-        asked_us = sum(errand.work_us for errand in done)
+        asked_us = day.work_factor * sum(errand.work_us for errand in done)
         firsts = max(1, len(done))
         unserved = [e for e in done if not e.served and e.ended_us is not None]
         late = sum(_worth(e, 1.0) for e in unserved if _past_aim(e, e.ended_us or 0))
--- a/eiderhub/world/scenario.py
+++ b/eiderhub/world/scenario.py
@@ -92,7 +92,7 @@
 
     name: Name
     share: Amount
-    work_ms: Amount  # mean, of a core of the yardstick speed, over all tiers
+    work_ms: Amount  # mean, of a core of the yardstick speed; a call takes its tier's share of it
     spread: AmountOrNone = (1.4, 2.6)  # coefficient of variation of the work
     aim_ms: Positive
     deadline_ms: Positive
@@ -328,8 +328,3 @@
         below = merged.get(key)
         merged[key] = _over(below, value) if isinstance(below, dict) and isinstance(value, dict) else value
     return merged
-
-
-def schema() -> dict[str, Any]:
-    """JSON Schema of a scenario."""
-    return msgspec.json.schema(Scenario)
