--- a/eiderhub/world/scenario.py
+++ b/eiderhub/world/scenario.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 from typing import Annotated, Any
 
-import msgspec
 from msgspec import Meta, Struct, field
 
 from eiderhub.interface import Effect, Group
