Write requests, statuses, lists and shared options once

Found in reading the change again: the head of a request and the meaning of a status stood in the clients and in the load tool, a whole list was built by the registry and by its host, demo and emulate had the same options and load imported two other commands for theirs, and an attempt's end was told in four variants, of which the one for declined requests could tell it twice when the caller left at that moment. Also gone: an unused parameter, an unused field, a stack of one context, and a deep comparison of sidecars for a question that one attribute answers.

--- a/eiderhub/cli/ctl.py
+++ b/eiderhub/cli/ctl.py
@@ -6,27 +6,12 @@
 
 import click
 
+from eiderhub.cli.options import AddressType
 from eiderhub.emulator import operators
 
 CALLS = ("status", "stats", "standby", "active")
 
 
-class AddressType(click.ParamType[tuple[str, int]]):
-    """An address:port."""
-
-    name = "address"
-
-    def convert(
-        self, value: object, param: click.Parameter | None, ctx: click.Context | None
-    ) -> tuple[str, int]:
-        if isinstance(value, tuple):
-            return value
-        host, _, port = str(value).rpartition(":")
-        if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) <= 65535:
-            self.fail(f"{value!r} is no address:port, such as 127.0.0.1:7071", param, ctx)
-        return host, int(port)
-
-
 @click.command("ctl")
 @click.argument("address", type=AddressType())
 @click.argument("call", type=click.Choice(CALLS))
--- a/eiderhub/cli/demo.py
+++ b/eiderhub/cli/demo.py
@@ -9,13 +9,11 @@
 from rich.console import Console
 
 from eiderhub.cli import playing, screen
+from eiderhub.cli.options import MOST_SECONDS, of_a_day
 from eiderhub.emulator.deployment import DeploymentError
 from eiderhub.world import scenario as scenarios
 from eiderhub.world.day import draw
 
-MOST_SECONDS = 3600
-MOST_SEED = 2**32 - 1
-
 
 @click.command("demo")
 @click.option(
@@ -26,14 +24,7 @@
     type=click.FloatRange(0, MOST_SECONDS, min_open=True),
     help="Length of the day, instead of the scenario's.",
 )
-@click.option(
-    "--seed", type=click.IntRange(0, MOST_SEED), default=1, show_default=True, help="The day's seed."
-)
-@click.option("--json", "json_file", metavar="FILE", help="Write all figures there; - for standard output.")
-@click.option(
-    "--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the sidecars' logs there."
-)
-@click.option("--command", help="What starts a sidecar, instead of this build.")
+@of_a_day
 @click.option("--list", "listed", is_flag=True, help="List the scenarios that come with the package.")
 def command(
     scenario: str,
--- a/eiderhub/cli/emulate.py
+++ b/eiderhub/cli/emulate.py
@@ -11,7 +11,7 @@
 from rich.table import Table
 
 from eiderhub.cli import playing, screen
-from eiderhub.cli.demo import MOST_SEED
+from eiderhub.cli.options import of_a_day
 from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
 from eiderhub.world import scenario as scenarios
 from eiderhub.world.day import Day, draw
@@ -19,15 +19,8 @@
 
 @click.command("emulate")
 @click.argument("scenario")
-@click.option(
-    "--seed", type=click.IntRange(0, MOST_SEED), default=1, show_default=True, help="The day's seed."
-)
 @click.option("--traffic", is_flag=True, help="Play the scenario's clients, too, once.")
-@click.option("--json", "json_file", metavar="FILE", help="Write all figures there at the end.")
-@click.option(
-    "--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the sidecars' logs there."
-)
-@click.option("--command", help="What starts a sidecar, instead of this build.")
+@of_a_day
 def command(
     scenario: str, seed: int, traffic: bool, json_file: str | None, logs: Path | None, command: str | None
 ) -> int:
@@ -66,7 +59,7 @@
             try:
                 if traffic:
                     with screen.progress(day.name) as tell:
-                        await deployment.play(lambda part, outside: tell(part, playing.said(part, outside)))
+                        await deployment.play(lambda part, outside: tell(part, playing.said(outside)))
                 else:
                     deployment.begin_troubles()
                 click.echo("up until Ctrl-C", err=True)
--- a/eiderhub/cli/load.py
+++ b/eiderhub/cli/load.py
@@ -11,8 +11,7 @@
 from rich.table import Table
 
 from eiderhub.cli import playing, screen
-from eiderhub.cli.ctl import AddressType
-from eiderhub.cli.demo import MOST_SECONDS, MOST_SEED
+from eiderhub.cli.options import MOST_SECONDS, MOST_SEED, AddressType
 from eiderhub.emulator import load as loads
 from eiderhub.emulator.clock import IN_DOUBT_MS
 from eiderhub.interface import Effect
--- a/eiderhub/cli/playing.py
+++ b/eiderhub/cli/playing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import shlex
 import signal
 from collections.abc import Callable, Coroutine
@@ -12,7 +11,7 @@
 
 import uvloop
 
-from eiderhub.cli.screen import Tell, progress
+from eiderhub.cli.screen import progress
 from eiderhub.emulator.callers import Outside
 from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
 from eiderhub.world.day import Day
@@ -52,7 +51,7 @@
     return shlex.split(command) if command else None
 
 
-def said(part: float, outside: Outside) -> str:
+def said(outside: Outside) -> str:
     return f"{outside.ended} ended, {outside.served} served, {len(outside.open)} open"
 
 
@@ -61,12 +60,11 @@
     interrupted = False
     failed: DeploymentError | None = None
     deployment = Deployment(day, command, logs)
-    with contextlib.ExitStack() as stack:
-        tell: Tell = stack.enter_context(progress(day.name))
+    with progress(day.name) as tell:
         tell(0.0, f"starting {len(day.posts)} sidecars")
         async with deployment:
             try:
-                await deployment.play(lambda part, outside: tell(part, said(part, outside)))
+                await deployment.play(lambda part, outside: tell(part, said(outside)))
             except DeploymentError as error:
                 failed = error
             except asyncio.CancelledError:
--- a/eiderhub/emulator/asking.py
+++ b/eiderhub/emulator/asking.py
@@ -6,9 +6,46 @@
 
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.http import Pool, Reply
+from eiderhub.interface import Effect
 from eiderhub.world.clients import End
 
 
+def render(
+    name: str,
+    grade: str,
+    effect: Effect,
+    deadline_ms: int,
+    tenant: str | None,
+    key: str | None,
+    body: bytes,
+    repeat: bool = False,
+) -> bytes:
+    """A request as PROTOCOL has it; what is safe to repeat has no body."""
+    idempotent = effect is Effect.IDEMPOTENT
+    lines = [
+        f"{'GET' if idempotent else 'POST'} /{grade} HTTP/1.1",
+        "Host: service.internal",
+        f"Req-Id: {name}",
+        f"Req-Deadline-Ms: {deadline_ms}",
+    ]
+    if tenant is not None:
+        lines.append(f"Req-Owner: {tenant}")
+    if key is not None:
+        lines.append(f"Idempotency-Key: {key}")
+    if repeat:
+        lines.append("Req-Retry: 1")
+    if not idempotent:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (b"" if idempotent else body)
+
+
+def end_of(status: int) -> End:
+    """PROTOCOL's table of what a sidecar answers."""
+    if status == 200:
+        return End.SERVED
+    return End.REFUSED if status in (429, 503) else End.FAILED
+
+
 class Asking:
     """Who asks says what an answer means, and hears of one end."""
 
--- a/eiderhub/emulator/callers.py
+++ b/eiderhub/emulator/callers.py
@@ -4,11 +4,10 @@
 
 from collections.abc import Callable
 
-from eiderhub.emulator.asking import Asking
+from eiderhub.emulator.asking import Asking, end_of, render
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.http import Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs
-from eiderhub.interface import Effect
 from eiderhub.world.clients import End, Errand, patience_us, retry_us
 from eiderhub.world.day import Day, Post
 from eiderhub.world.front import Front
@@ -17,26 +16,6 @@
 BODY = b"x" * 200  # of a request
 
 
-def render(name: str, job: Job, patience_us: int, repeat: bool) -> bytes:
-    """A request as PROTOCOL has it."""
-    idempotent = job.grade.spec.effect is Effect.IDEMPOTENT
-    lines = [
-        f"{'GET' if idempotent else 'POST'} /{job.grade.name} HTTP/1.1",
-        "Host: service.internal",
-        f"Req-Id: {name}",
-        f"Req-Deadline-Ms: {max(1, patience_us // 1000)}",
-    ]
-    if job.tenant is not None:
-        lines.append(f"Req-Owner: {job.tenant}")
-    if job.key is not None:
-        lines.append(f"Idempotency-Key: {job.key}")
-    if repeat:
-        lines.append("Req-Retry: 1")
-    if not idempotent:
-        lines.append(f"Content-Length: {len(BODY)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (b"" if idempotent else BODY)
-
-
 class Target:
     """One sidecar, as its callers see it."""
 
@@ -67,7 +46,16 @@
         self._on_end = on_end
         self._written = False
         self.name = jobs.new(job)
-        data = render(self.name, job, patience_us, repeat)
+        data = render(
+            self.name,
+            job.grade.name,
+            job.grade.spec.effect,
+            max(1, patience_us // 1000),
+            job.tenant,
+            job.key,
+            BODY,
+            repeat,
+        )
         super().__init__(clock, target.pool, data, clock.now_us() + patience_us)
 
     def on_written(self) -> None:
@@ -77,9 +65,8 @@
     def meaning(self, reply: Reply) -> End:
         produced = self._jobs.was_produced(self.name, reply.body)
         self._judge.answered(self.clock.now_us(), self.name, reply.status, produced)
-        if reply.status == 200 and produced:
-            return End.SERVED
-        return End.REFUSED if reply.status in (429, 503) else End.FAILED
+        end = end_of(reply.status)
+        return End.FAILED if end is End.SERVED and not produced else end
 
     def crossed(self, first: bool) -> bool:
         return (
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -116,8 +116,8 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-class _Nobody:
-    """Takes an answer to /up; a future would leave nobody to tell of a broken connection."""
+class _UpCall:
+    """Takes what comes of a call to /up: yes, no, or that nobody has answered."""
 
     def __init__(self, told: asyncio.Future[bool | None]) -> None:
         self._told = told
@@ -142,7 +142,7 @@
     """What `/up` says; None where nobody answers."""
     told: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
     pool = Pool(host, port, UP_WAIT_S)
-    ticket = pool.ask(UP, _Nobody(told))
+    ticket = pool.ask(UP, _UpCall(told))
     try:
         async with asyncio.timeout(UP_WAIT_S):
             return await told
@@ -280,7 +280,7 @@
     def launch(self, name: str) -> Process:
         station = self.stations[name]
         self._starts += 1
-        listing = self.roster.listing(station.post.tier)
+        listing = self.registry.whole(station.post.tier)
         known: dict[str, object] = self.roster.document(station.post, listing)
         station.write_config(known, self.day.seed * 1_000_003 + self._starts)
         if not station.processes:
@@ -476,12 +476,11 @@
         self.outside.open.clear()
         choked = sum(e.choked_ever for e in endpoints) / max(1, len(endpoints))
         verdict = self.judge.verdict(sum(e.wasted_us for e in endpoints), choked)
-        front = [s for s in self.stations.values() if s.post.owner is None]
         usage = {}
         front_cpu = 0.0
         for name, station in self.stations.items():
             cpu_s = self._cpu_s(station)
-            front_cpu += cpu_s - station.usage.before_s if station in front else 0.0
+            front_cpu += cpu_s - station.usage.before_s if station.post.owner is None else 0.0
             usage[name] = {
                 "cpu_s": round(cpu_s, 2),
                 "memory_mb": round(station.usage.memory_mb, 1),
--- a/eiderhub/emulator/http.py
+++ b/eiderhub/emulator/http.py
@@ -168,7 +168,6 @@
         self._asker: Asker | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._count = 0
-        self._status = 0
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
 
--- a/eiderhub/emulator/load.py
+++ b/eiderhub/emulator/load.py
@@ -20,7 +20,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
-from eiderhub.emulator.asking import Asking
+from eiderhub.emulator.asking import Asking, end_of, render
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.http import Pool, Reply
 from eiderhub.interface import Effect
@@ -215,20 +215,11 @@
 
     def request(self, number: int) -> tuple[Shape, bytes]:
         shape = self.mix.shapes[int(self._shapes[number])]
-        get = shape.effect is Effect.IDEMPOTENT
-        lines = [
-            f"{'GET' if get else 'POST'} /{shape.name} HTTP/1.1",
-            "Host: service.internal",
-            f"Req-Id: {int(self._ids[number]):016x}",
-            f"Req-Deadline-Ms: {shape.deadline_ms}",
-        ]
-        if self._tenants is not None:
-            lines.append(f"Req-Owner: {self.mix.tenants[int(self._tenants[number])][0]}")
-        if shape.effect is Effect.DEDUPLICATED:
-            lines.append(f"Idempotency-Key: {int(self._ids[number]) ^ 0x5555:016x}")
-        if not get:
-            lines.append(f"Content-Length: {len(self._body)}")
-        return shape, "\r\n".join(lines).encode() + b"\r\n\r\n" + (b"" if get else self._body)
+        name = int(self._ids[number])
+        tenant = self.mix.tenants[int(self._tenants[number])][0] if self._tenants is not None else None
+        key = f"{name ^ 0x5555:016x}" if shape.effect is Effect.DEDUPLICATED else None
+        data = render(f"{name:016x}", shape.name, shape.effect, shape.deadline_ms, tenant, key, self._body)
+        return shape, data
 
     # --- the result ---
 
@@ -293,9 +284,7 @@
 
     def meaning(self, reply: Reply) -> End:
         self._load.statuses[reply.status] += 1
-        if reply.status == 200:
-            return End.SERVED
-        return End.REFUSED if reply.status in (429, 503) else End.FAILED
+        return end_of(reply.status)
 
     def crossed(self, first: bool) -> bool:
         return not first  # a kept connection's close
--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -184,17 +184,21 @@
             self._running[token] = running
             running.exchange.on_gone = lambda _: self._left(token, running)
         elif offer is Offer.DECLINED:
-            self._judge.attempt_ended(running.name.decode(), self.plan, never_ran=True)
+            self._attempt_over(running, never_ran=True)
             self._send(running, lambda: running.exchange.answer(503, b"", DECLINED))
         else:
-            running.exchange.on_gone = None
-            self._judge.attempt_ended(running.name.decode(), self.plan, never_ran=False)
+            self._attempt_over(running)
             running.exchange.reset()
         self.moved()
 
+    def _attempt_over(self, running: _Running, never_ran: bool = False) -> None:
+        """It has its outcome here; that its caller goes after that changes nothing."""
+        running.exchange.on_gone = None
+        self._judge.attempt_ended(running.name.decode(), self.plan, never_ran)
+
     def _left(self, token: int | None, running: _Running) -> None:
         """Its sidecar has given the attempt up."""
-        self._judge.attempt_ended(running.name.decode(), self.plan, never_ran=False)
+        self._attempt_over(running)
         if token is not None and self._running.pop(token, None) is not None:
             if running.drop_call is not None:
                 running.drop_call()
@@ -252,8 +256,7 @@
     def _done(self, running: _Running, answer: Answer) -> None:
         assert isinstance(answer.token, int)
         del self._running[answer.token]
-        running.exchange.on_gone = None
-        self._judge.attempt_ended(running.name.decode(), self.plan, never_ran=False)
+        self._attempt_over(running)
         if answer.served:
             body = self._jobs.produce(running.name, self.plan.id)
             self._send(running, lambda: running.exchange.answer(200, body))
--- a/eiderhub/emulator/roster.py
+++ b/eiderhub/emulator/roster.py
@@ -11,7 +11,6 @@
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.doors import Door
 from eiderhub.emulator.http import Exchange, render
-from eiderhub.interface import Readiness
 from eiderhub.world.day import Post
 from eiderhub.world.judge import Judge
 from eiderhub.world.registry import Delivery, Listing, Registry, Told
@@ -80,12 +79,6 @@
             ],
         }
 
-    def listing(self, tier: int) -> Listing:
-        """What a sidecar of the tier may know already when it starts."""
-        rows = self._registry.entries.values()
-        present = [e for e in rows if e.tier == tier and e.lifecycle is not Readiness.GONE]
-        return Listing(self._registry.generation, True, tuple(present))
-
     # --- calls ---
 
     def _came(self, post: Post, exchange: Exchange) -> None:
--- a/eiderhub/emulator/troubles.py
+++ b/eiderhub/emulator/troubles.py
@@ -242,7 +242,7 @@
     async def _reload(self, event: Event) -> None:
         for station in self._stage.stations.values():
             station.discovery = await self._stage.roster.move(station.post)
-            listing = self._stage.roster.listing(station.post.tier)
+            listing = self._stage.registry.whole(station.post.tier)
             station.write_config(self._stage.roster.document(station.post, listing), event.at_us)
             for process in station.processes:
                 process.send(signal.SIGHUP)
--- a/eiderhub/world/registry.py
+++ b/eiderhub/world/registry.py
@@ -146,12 +146,17 @@
     def _newest(self, tier: int) -> int:
         return max((e.generation for e in self.entries.values() if e.tier == tier), default=0)
 
+    def whole(self, tier: int) -> Listing:
+        """All that a tier has now."""
+        rows = self.entries.values()
+        present = tuple(e for e in rows if e.tier == tier and e.lifecycle is not Readiness.GONE)
+        return Listing(self.generation, True, present)
+
     def _listing(self, ask: _Ask) -> Listing:
-        rows = [entry for entry in self.entries.values() if entry.tier == ask.tier]
         if ask.after is None or ask.after <= 0 or ask.after > self.generation:
-            present = tuple(entry for entry in rows if entry.lifecycle is not Readiness.GONE)
-            return Listing(self.generation, True, present)
-        changed = tuple(entry for entry in rows if entry.generation > ask.after)
+            return self.whole(ask.tier)
+        rows = self.entries.values()
+        changed = tuple(e for e in rows if e.tier == ask.tier and e.generation > ask.after)
         return Listing(self.generation, False, changed)
 
     def _assign(self, now_us: int) -> None:
