Keep ports ours, free them at once, keep rich out of the sidecar, and take IPv6 addresses

Symptom: `address already in use` at a stand-in's door, now and then in make test. Three causes were possible. Another process takes the port of a door that is shut: then ss would show that process; it showed our own silent listener, alive after its close. A second open of the same door at the same time: there was none. Doors now end listening by shutdown, which no copy of the descriptor outlasts. The first guess was a fault as well, only not this one: two emulators use the same addresses, so ports are now held by a bound socket that never listens.

Also: the sidecar's process imported all of rich through structlog (the test reads sys.modules of the real entry now); one address type for configuration, command and load, with IPv6; a key of its own for each handshake; no folder left where a deployment gets no sockets. The stand-ins' HTTP moves to eiderhub/http1.py, where the list service will use it.

--- a/eiderhub/cli/options.py
+++ b/eiderhub/cli/options.py
@@ -8,26 +8,29 @@
 
 import click
 
+from eiderhub.address import EXAMPLE, Address, parse
+
 F = TypeVar("F", bound=Callable[..., Any])
 
 MOST_SECONDS = 3600
 MOST_SEED = 2**32 - 1
 
 
-class AddressType(click.ParamType[tuple[str, int]]):
+class AddressType(click.ParamType[Address]):
     """An address:port."""
 
     name = "address"
 
-    def convert(
-        self, value: object, param: click.Parameter | None, ctx: click.Context | None
-    ) -> tuple[str, int]:
-        if isinstance(value, tuple):
+    def convert(self, value: object, param: click.Parameter | None, ctx: click.Context | None) -> Address:
+        if isinstance(value, Address):
             return value
-        host, _, port = str(value).rpartition(":")
-        if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) <= 65535:
-            self.fail(f"{value!r} is no address:port, such as 127.0.0.1:7071", param, ctx)
-        return host, int(port)
+        try:
+            address = parse(str(value))
+        except ValueError:
+            address = Address("", 0)
+        if not address.port:
+            self.fail(f"{value!r} is no address:port, such as {EXAMPLE}", param, ctx)
+        return address
 
 
 def of_a_day(function: F) -> F:
--- a/eiderhub/emulator/asking.py
+++ b/eiderhub/emulator/asking.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from eiderhub.emulator.clock import Clock
-from eiderhub.emulator.http import Pool, Reply
+from eiderhub.http1 import Pool, Reply
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End
 
--- a/eiderhub/emulator/callers.py
+++ b/eiderhub/emulator/callers.py
@@ -6,8 +6,8 @@
 
 from eiderhub.emulator.asking import Asking, end_of, render
 from eiderhub.emulator.clock import Clock
-from eiderhub.emulator.http import Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs
+from eiderhub.http1 import Pool, Reply
 from eiderhub.world.clients import End, Errand, patience_us, retry_us
 from eiderhub.world.day import Day, Post
 from eiderhub.world.front import Front
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -6,6 +6,7 @@
 import contextlib
 import resource
 import shutil
+import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -13,19 +14,19 @@
 
 from eiderhub.emulator.callers import Outside, Target, Try
 from eiderhub.emulator.clock import IN_DOUBT_MS, Clock
-from eiderhub.emulator.http import OUR_LIMIT, Exchange, Pool, Reply
 from eiderhub.emulator.machines import Job, Jobs, Machine
 from eiderhub.emulator.processes import (
     Process,
     Station,
+    claim,
     default_command,
-    free_port,
     listening,
     new_folder,
 )
 from eiderhub.emulator.roster import Roster
 from eiderhub.emulator.settings import settings_of
 from eiderhub.emulator.troubles import Troubles
+from eiderhub.http1 import OUR_LIMIT, Exchange, Pool, Reply
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End, arrivals
 from eiderhub.world.day import Day, Plan, Post
@@ -40,6 +41,7 @@
 UP_EVERY_S = 0.05  # how often a sidecar that starts is asked
 UP_WAIT_S = 1.0  # for an answer to /up
 MEMORY_EVERY_S = 0.25
+MANAGED = 2  # ports for operators' calls to a sidecar: an upgrade needs the second one
 FORGET_EVERY_S = 5.0
 FORGET_US = 60_000_000  # after its time was over, nothing comes of a request any more
 UP = b"GET /up HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n"
@@ -170,12 +172,23 @@
         self._chores: set[asyncio.Task[None]] = set()
         self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         _use_all_descriptors()
+        self.stations: dict[str, Station] = {}
+        self.targets: dict[str, Target] = {}
+        self.machines: dict[str, Machine] = {}
+        self._claims: list[socket.socket] = []  # ports of ours, open until the end
         self.folder = new_folder()
         self._closing = False
         self._starts = 0
         self._inner_calls = 0
         self._notes: list[str] = []
-        self._build()
+        try:
+            self._build()
+        except BaseException as error:
+            self._close_claims()
+            shutil.rmtree(self.folder, ignore_errors=True)
+            if isinstance(error, OSError) and error.errno in OUR_LIMIT:
+                raise _few_descriptors() from None
+            raise
 
     async def __aenter__(self) -> Deployment:
         # A defect in a callback must end the run, not only be logged: the figures would be wrong.
@@ -208,7 +221,6 @@
             self.registry, self.clock, self.judge, lambda e, s: self.machines[e].doors[s].address
         )
         groups = dedup_groups(day)
-        self.machines: dict[str, Machine] = {}
         for number, plan in enumerate(day.plans):
             endpoint = Endpoint(plan, day.rng(f"endpoint {plan.id}"))
             self.machines[plan.id] = Machine(
@@ -226,16 +238,18 @@
                 self._adopt,
             )
         upgraded = {n for e in day.events if e.kind is TroubleKind.UPGRADE for n in e.sidecars}
-        self.stations: dict[str, Station] = {}
-        self.targets: dict[str, Target] = {}
         for number, post in enumerate(day.posts):
             host = f"127.9.{number // 200}.{1 + number % 200}"
             inherited = listening(host) if post.name in upgraded else None
-            port = inherited.getsockname()[1] if inherited else free_port(host)
+            held = inherited or claim(host)
+            port = held.getsockname()[1]
+            claims = [claim(host) for _ in range(MANAGED)]
+            self._claims += [held, *claims]
             self.stations[post.name] = Station(
                 post=post,
                 host=host,
                 port=port,
+                claims=claims,
                 folder=self.folder / post.name,
                 settings=settings_of(day, post),
                 memory_mb=day.scenario.allowed.memory_mb,
@@ -541,9 +555,11 @@
         self.roster.close()
         for target in self.targets.values():
             target.pool.close()
-        for station in self.stations.values():
-            if station.inherited is not None:
-                station.inherited.close()
+        self._close_claims()
+
+    def _close_claims(self) -> None:
+        for sock in self._claims:
+            sock.close()
 
     def _save_logs(self, keep: Path) -> None:
         keep.mkdir(parents=True, exist_ok=True)
--- a/eiderhub/emulator/doors.py
+++ b/eiderhub/emulator/doors.py
@@ -5,10 +5,13 @@
 import asyncio
 import contextlib
 import errno
+import os
 import socket
 from collections.abc import Callable
+from typing import Any
 
-from eiderhub.emulator.http import Exchange, ServerConnection
+from eiderhub.emulator.processes import claim
+from eiderhub.http1 import Exchange, ServerConnection
 
 BACKLOG = 256
 FILLERS = 4  # connections that fill a silent door's queue, so that no other comes up
@@ -26,6 +29,7 @@
     ) -> None:
         self.host = host
         self.port = 0
+        self._claim: socket.socket | None = None  # keeps the port ours while nobody listens
         self._serve = serve
         self._clock = clock
         self._on_open = on_open
@@ -37,8 +41,15 @@
     def address(self) -> str:
         return f"{self.host}:{self.port}"
 
+    def listening(self) -> list[Any]:
+        """The sockets that listen at the address now, to serve or to be silent."""
+        return [*(self._server.sockets if self._server is not None else ()), *self._silent[:1]]
+
     async def open(self) -> None:
         self._end_silence()
+        if self._claim is None:
+            self._claim = claim(self.host)
+            self.port = self._claim.getsockname()[1]
         if self._server is None:
             self._server = await asyncio.get_running_loop().create_server(
                 lambda: ServerConnection(self._serve, self._clock, self.connections, self._on_open),
@@ -49,18 +60,26 @@
             )
             if not self._server.sockets:  # uvloop says nothing where no socket could be made
                 raise OSError(errno.EMFILE, "no descriptor is left for a listening address")
-            self.port = self._server.sockets[0].getsockname()[1]
 
     def shut(self, reset: bool = True) -> None:
         """New connections are refused; those that are open are reset, or left as they are."""
         self._end_silence()
         if self._server is not None:
+            for listener in self._server.sockets:
+                _unlisten(listener.fileno())
             self._server.close()
             self._server = None
         if reset:
             for connection in list(self.connections):
                 connection.reset()
 
+    def close(self) -> None:
+        """Give the address back, too."""
+        self.shut()
+        if self._claim is not None:
+            self._claim.close()
+            self._claim = None
+
     def silence(self) -> None:
         """New connections never come up. Whoever serves must leave what comes on open ones unanswered."""
         self.shut(reset=False)
@@ -83,5 +102,16 @@
 
     def _end_silence(self) -> None:
         for each in self._silent:
+            _unlisten(each.fileno())
             each.close()
         self._silent.clear()
+
+
+def _unlisten(fileno: int) -> None:
+    """Stop listening now, whoever else holds the socket.
+
+    Danger: a process that we are just starting has all our descriptors until the system has closed them for
+    it, which goes on for a moment after the start has returned. A close alone leaves the address taken then.
+    """
+    with socket.socket(fileno=os.dup(fileno)) as sock, contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- a/eiderhub/emulator/load.py
+++ b/eiderhub/emulator/load.py
@@ -22,7 +22,7 @@
 
 from eiderhub.emulator.asking import Asking, end_of, render
 from eiderhub.emulator.clock import Clock
-from eiderhub.emulator.http import Pool, Reply
+from eiderhub.http1 import Pool, Reply
 from eiderhub.interface import Effect
 from eiderhub.reading import DocumentError, Fault
 from eiderhub.world.clients import End
--- a/eiderhub/emulator/machines.py
+++ b/eiderhub/emulator/machines.py
@@ -8,7 +8,7 @@
 
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.doors import Door
-from eiderhub.emulator.http import Exchange
+from eiderhub.http1 import Exchange
 from eiderhub.interface import Effect
 from eiderhub.world.clients import calls_at, work_at
 from eiderhub.world.day import Day, Grade, Plan, Post
@@ -322,7 +322,7 @@
         if self._timer is not None:
             self._timer.cancel()
         for door in self.doors.values():
-            door.shut()
+            door.close()
 
 
 def _as_sent(exchange: Exchange, job: Job) -> bool:
--- a/eiderhub/emulator/processes.py
+++ b/eiderhub/emulator/processes.py
@@ -39,18 +39,25 @@
     return {**os.environ, "PYTHONPATH": f"{package}{os.pathsep}{path}" if path else package}
 
 
-def free_port(host: str) -> int:
-    """A port that is free at this address now. The address is ours alone, so it stays so."""
-    with socket.socket() as sock:
+def claim(host: str) -> socket.socket:
+    """A port at this address that stays ours until the socket is closed, whoever listens there meanwhile.
+
+    Bound and never listening: connections are refused, a process that we start can listen there (both
+    allow reuse), and the system gives the port to nobody else, such as a second emulator.
+    """
+    sock = socket.socket()
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, 0))
-        return int(sock.getsockname()[1])
+    except OSError:
+        sock.close()
+        raise
+    return sock
 
 
 def listening(host: str) -> socket.socket:
     """A listening socket such as the platform holds for upgrades."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, 0))
+    sock = claim(host)
     sock.listen(BACKLOG)
     sock.setblocking(False)
     return sock
@@ -158,6 +165,7 @@
     post: Post
     host: str
     port: int
+    claims: list[socket.socket]  # of ports for operators' calls
     folder: Path  # its own: configuration, log, and the directory that processes of it share
     settings: dict[str, Any]
     memory_mb: float
@@ -168,6 +176,7 @@
     management: str = ""
     usage: Usage = field(default_factory=Usage)
     processes: list[Process] = field(default_factory=list)  # those that live, the newest last
+    starts: int = 0
 
     @property
     def config(self) -> Path:
@@ -199,7 +208,10 @@
         if not self.processes:  # it is empty at a start, and common to processes that live side by side
             shutil.rmtree(temporary, ignore_errors=True)
             temporary.mkdir(parents=True)
-        self.management = f"{self.host}:{free_port(self.host)}"
+        # Two processes of one sidecar live side by side in an upgrade, so they take turns.
+        held = self.claims[self.starts % len(self.claims)]
+        self.starts += 1
+        self.management = f"{self.host}:{held.getsockname()[1]}"
         environ = environment() | {
             "GW_NAME": self.post.name,
             "GW_LISTEN": f"{self.host}:{self.port}",
--- a/eiderhub/emulator/roster.py
+++ b/eiderhub/emulator/roster.py
@@ -10,7 +10,7 @@
 
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.doors import Door
-from eiderhub.emulator.http import Exchange, render
+from eiderhub.http1 import Exchange, render
 from eiderhub.world.day import Post
 from eiderhub.world.judge import Judge
 from eiderhub.world.registry import Delivery, Listing, Registry, Told
@@ -57,7 +57,7 @@
         if self._timer is not None:
             self._timer.cancel()
         for door in (*self.doors.values(), *self._old):
-            door.shut()
+            door.close()
 
     def document(self, post: Post, listing: Listing) -> dict[str, object]:
         """A list in discovery's form."""
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -10,8 +10,10 @@
 
 from msgspec import Meta, Struct
 
+from eiderhub.address import PATTERN, Address, AddressText, parse
 from eiderhub.interface import Settings
-from eiderhub.reading import DocumentError, convert, parse
+from eiderhub.reading import DocumentError, convert
+from eiderhub.reading import parse as parse_file
 from eiderhub.settings import Setup
 from eiderhub.sidecar.discovery import Listing, Roll
 from eiderhub.sidecar.logs import LINES_PER_S, Form
@@ -19,8 +21,6 @@
 SOCKETS = 1024  # descriptors, where the configuration states no limit
 MEMORY_MB = 128  # likewise
 
-AddressText = Annotated[str, Meta(pattern=r"^[^:]+:[0-9]{1,5}$", description="an address:port")]
-
 
 class ConfigError(Exception):
     """A configuration that no sidecar can start from, worded for those on call."""
@@ -46,19 +46,13 @@
     name: str = ""
     listen: AddressText | None = None  # where callers connect
     discovery: AddressText | None = None
-    management: Annotated[str, Meta(pattern=r"^$|^[^:]+:[0-9]{1,5}$", description="an address:port")] = ""
+    management: Annotated[str, Meta(pattern="^$|" + PATTERN, description="an address:port")] = ""
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]*$", description="a hexadecimal number")] | int = ""
     limits: Bounds = Bounds()
     log: Log = Log()
     known: Roll | None = None  # the list of endpoints as it was last known
 
 
-@dataclass(frozen=True, slots=True)
-class Address:
-    host: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -76,10 +70,12 @@
 
 def parse_address(text: str | None, key: str) -> Address:
     """An address from the environment, or one that the file has; `key` names where it stands."""
-    host, _, port = (text or "").rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise ConfigError(f"{key}: {'missing' if text is None else f'no address:port: {text!r}'}")
-    return Address(host, int(port))
+    if text is None:
+        raise ConfigError(f"{key}: missing")
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise ConfigError(f"{key}: {error}") from None
 
 
 def read_document(path: str) -> Document:
@@ -88,7 +84,7 @@
     Raises:
         DocumentError: with all of its faults.
     """
-    document, people = parse(Path(path))
+    document, people = parse_file(Path(path))
     found: Document = convert(document, Document, path, people)
     return found
 
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -43,6 +43,7 @@
 
     def listed(self) -> Listed:
         host, _, port = self.host_port.rpartition(":")
+        host = host.strip("[]")
         started_ms = int(self.started_at_ms or 0)
         weight = self.weight or 1.0
         endpoint = Endpoint(
--- a/eiderhub/world/endpoint.py
+++ b/eiderhub/world/endpoint.py
@@ -124,6 +124,7 @@
         self.wasted_us = 0.0  # work done for requests that nobody waits for
         self._rng = rng
         self._cpu = Processor(plan.cores, plan.speed)
+        self._handshakes = 0
         self._work: dict[Hashable, Work] = {}
         self._queue: deque[Work] = deque()
         self._held = 0  # slots in use
@@ -185,7 +186,8 @@
         """A new connection has come up: its price is work, done before anything else."""
         if self.state is not State.DOWN and self.plan.handshake_us:
             self._settle(now_us)
-            self._cpu.add(now_us, ("handshake", now_us, len(self._cpu)), self.plan.handshake_us)
+            self._handshakes += 1  # a key of its own: two may come up within a microsecond
+            self._cpu.add(now_us, ("handshake", self._handshakes), self.plan.handshake_us)
 
     def called(self, now_us: int, token: Hashable, served: bool) -> None:
         """How the call to the next tier ended."""
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -9,11 +9,12 @@
 
 import uvloop
 
+from eiderhub.address import Address
 from eiderhub.settings import settings_from
-from eiderhub.sidecar.__main__ import UPSTREAM_SHARE
-from eiderhub.sidecar.config import Address, Config
+from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
+from eiderhub.sidecar.process import UPSTREAM_SHARE
 from eiderhub.sidecar.server import Server
 
 PATIENCE_S = 10.0  # a test that waits longer for an event has failed
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import signal
+import socket
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
 
@@ -16,6 +19,7 @@
 from hypothesis import strategies as st
 
 from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
+from eiderhub.emulator.doors import Door
 from eiderhub.emulator.load import Load, Mix, Pattern, Shape, loopback, recorded, schedule
 from eiderhub.emulator.processes import environment
 from eiderhub.interface import Effect
@@ -94,6 +98,48 @@
     assert {used["starts"] for used in result.usage.values()} <= {1.0, 2.0}
 
 
+def test_a_port_that_is_ours_stays_ours_while_nobody_listens() -> None:
+    async def test() -> None:
+        door = Door("127.99.0.1", lambda exchange: None, lambda: 0)
+        await door.open()
+        door.shut()
+        with socket.socket() as other:  # as another emulator would ask for it
+            with pytest.raises(OSError, match="in use"):
+                other.bind((door.host, door.port))
+            with pytest.raises(ConnectionRefusedError):
+                other.connect((door.host, door.port))
+        for off in (door.shut, door.silence):
+            await door.open()
+            with socket.create_connection((door.host, door.port)):
+                pass
+            held = [os.dup(each.fileno()) for each in door.listening()]  # as a process has that just starts
+            off()
+            held += [os.dup(each.fileno()) for each in door.listening()]
+            await door.open()
+            for each in held:
+                os.close(each)
+        door.close()
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind((door.host, door.port))
+
+    run(test())
+
+
+def test_a_deployment_that_gets_no_sockets_leaves_no_folder(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def none_left(host: str) -> socket.socket:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path / "tmp"))
+    (tmp_path / "tmp").mkdir()
+    monkeypatch.setattr("eiderhub.emulator.deployment.claim", none_left)
+    with pytest.raises(DeploymentError, match="ulimit"):
+        play(scenario(tmp_path))
+    assert list((tmp_path / "tmp").iterdir()) == []
+
+
 def test_a_sidecar_that_dies_at_its_start_is_named_with_its_last_words(tmp_path: Path) -> None:
     command = [sys.executable, "-c", "import sys; print('no luck today'); sys.exit(3)"]
     with pytest.raises(DeploymentError, match=r"sidecar .* ended with status 3") as caught:
@@ -102,12 +148,20 @@
 
 
 def test_sidecar_imports_nothing_of_the_rooms_above_it(tmp_path: Path) -> None:
-    program = "import sys, eiderhub.sidecar.__main__ as m; print(*sys.modules)"
-    found = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, check=True)
+    program = (
+        "import runpy, sys\n"
+        "try:\n    runpy.run_module('eiderhub.sidecar', run_name='__main__')\n"
+        "except SystemExit:\n    print(*(name for name, module in sys.modules.items() if module))"
+    )
+    environ = {name: value for name, value in environment().items() if not name.startswith("GW_")}
+    found = subprocess.run(
+        [sys.executable, "-c", program], env=environ, capture_output=True, text=True, check=True
+    )
     loaded = set(found.stdout.split())
-    assert "eiderhub.balancer" in loaded
-    rooms = ("eiderhub.world", "eiderhub.emulator", "eiderhub.lab", "eiderhub.cli", "numpy", "click", "hdrh")
-    assert not [name for name in loaded if name.startswith(rooms)]
+    assert "eiderhub.balancer" in loaded and "structlog.dev" in loaded
+    above = ("world", "emulator", "lab", "cli", "registry.core", "registry.server", "registry.store")
+    foreign = ("numpy", "click", "hdrh", "rich", "xxhash", "tomllib")
+    assert not [name for name in loaded if name.startswith((*(f"eiderhub.{n}" for n in above), *foreign))]
 
 
 def test_interrupt_leaves_no_process_and_no_folder_behind(tmp_path: Path) -> None:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from eiderhub.sidecar import __main__ as program
 from eiderhub.sidecar import lifecycle
 from eiderhub.sidecar import management as managing
+from eiderhub.sidecar import process as program
 from eiderhub.sidecar.management import MOST, MOST_LINE, Management
 from tests.sidecar_support import Client, Sidecar, listing, row, run
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -20,14 +20,15 @@
 import structlog
 from structlog.testing import capture_logs
 
+from eiderhub.address import Address
 from eiderhub.interface import ListForm, Outcome, Readiness
-from eiderhub.sidecar import __main__ as program
 from eiderhub.sidecar import caller as calling
 from eiderhub.sidecar import discovery, server, upstream
 from eiderhub.sidecar import host as hosting
+from eiderhub.sidecar import process as program
 from eiderhub.sidecar.bodies import Source
 from eiderhub.sidecar.clock import Alarm, now_us
-from eiderhub.sidecar.config import Address, load
+from eiderhub.sidecar.config import load
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.host import Request
