--- /dev/null
+++ b/eiderhub/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The list service: records of endpoints, their versions, watches, leases, and its clients."""
