--- a/eiderhub/cli/__main__.py
+++ b/eiderhub/cli/__main__.py
@@ -16,6 +16,7 @@
     "demo": "Play a small deployment for some seconds, and say how it went.",
     "emulate": "Keep a deployment up on loopback until stopped.",
     "load": "Send open-loop traffic to a sidecar on loopback.",
+    "registry": "Run the list service, or ask and tell it.",
     "run": "Run one sidecar.",
 }
 
--- /dev/null
+++ b/eiderhub/cli/registry.py
@@ -0,0 +1,376 @@
+"""`ottercleat registry`: runs the list service, asks it, and tells it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import secrets
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from eiderhub.address import Address
+from eiderhub.cli.options import AddressType
+from eiderhub.http1 import Unanswered
+from eiderhub.reading import DocumentError, convert
+from eiderhub.registry import calls
+from eiderhub.registry.client import Answer, Line, Refused, Watch, ask_list, read
+from eiderhub.registry.records import MOST_LEASE_MS, Entry, Record
+from eiderhub.registry.settings import Follow
+
+T = TypeVar("T")
+MOST_LEASE_S = MOST_LEASE_MS / 1000
+
+
+@click.group("registry")
+def command() -> None:
+    """Run the list service, or ask and tell it: which endpoints there are, and what becomes of them."""
+
+
+ADDRESS = click.argument("address", type=AddressType())
+IN_SERVICE = click.option("--service", default="default", show_default=True, help="Whose endpoints.")
+IN_TIER = click.option("--tier", default="default", show_default=True, help="Of which tier.")
+JSON = click.option("--json", "as_json", is_flag=True, help="Print what the service answered, as JSON.")
+AT = click.option("--if-version", type=click.IntRange(0), help="Only if the record is still at this version.")
+
+
+def _ask(address: Address, work: Callable[[Line], Coroutine[Any, Any, T]]) -> T:
+    """Carry out one call.
+
+    Raises:
+        click.exceptions.Exit: with status 1, after a line that says why.
+    """
+
+    async def asked() -> T:
+        line = Line(address)
+        try:
+            return await work(line)
+        finally:
+            line.close()
+
+    try:
+        return asyncio.run(asked())
+    except (Unanswered, Refused) as error:
+        click.echo(f"ottercleat: {address}: {error}", err=True)
+        raise click.exceptions.Exit(1) from None
+
+
+@command.command()
+@click.option("--config", "path", required=True, metavar="FILE", help="TOML; see deploy/registry.toml.")
+def serve(path: str) -> int:
+    """Serve lists and registrations until SIGTERM or Ctrl-C."""
+    import uvloop
+
+    from eiderhub.registry.config import read as read_config
+    from eiderhub.registry.process import serve as serve_all
+    from eiderhub.registry.store import StoreError
+    from eiderhub.sidecar.logs import configure
+
+    config = read_config(path)
+    configure({"service": config.listen})
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve_all(config))
+    except StoreError as error:
+        click.echo(f"ottercleat: {error}", err=True)
+        return 1
+    return 0
+
+
+def _rows(entries: list[Entry]) -> Table:
+    table = Table(box=None, pad_edge=False)
+    for column in ("id", "address", "zone", "kind", "lifecycle", "weight", "started"):
+        table.add_column(column, overflow="fold")
+    for e in sorted(entries, key=lambda entry: entry.instance_id):
+        started = "-"
+        if e.started_at_ms:
+            started = time.strftime("%F %T", time.localtime(e.started_at_ms / 1000))
+        row = (
+            e.instance_id,
+            e.host_port,
+            e.zone,
+            e.machine_type,
+            e.lifecycle.value,
+            f"{e.weight:g}",
+            started,
+        )
+        table.add_row(*row)
+    return table
+
+
+def _follow(address: Address, service: str, tier: str, view: str) -> Follow:
+    told = {"addresses": [str(address)], "service": service, "tier": tier, "view": view}
+    return _checked(told, Follow)
+
+
+def _checked(told: dict[str, Any], kind: type[T]) -> T:
+    """What the arguments come to; a fault names the argument."""
+    try:
+        return convert(told, kind, people=True)
+    except DocumentError as error:
+        raise click.UsageError(str(error.faults[0])) from None
+
+
+def _document(answer: Answer) -> dict[str, Any]:
+    claim = answer.claim
+    return {
+        "generation": claim.version,
+        "reset": claim.whole,
+        "identity": claim.identity,
+        "branch": claim.branch,
+        "ageMs": answer.age_ms,
+        "instances": msgspec.to_builtins(claim.entries),
+    }
+
+
+@command.command("list")
+@ADDRESS
+@IN_SERVICE
+@IN_TIER
+@click.option("--view", default="", help="Addresses as seen in this network.")
+@JSON
+def list_(address: Address, service: str, tier: str, view: str, as_json: bool) -> int:
+    """Print the endpoints of a tier."""
+    follow = _follow(address, service, tier, view)
+    answer = _ask(address, lambda line: ask_list(line, follow))
+    if as_json:
+        click.echo(json.dumps(_document(answer), indent=2))
+        return 0
+    old = f", at most {answer.age_ms / 1000:.1f} s old" if answer.age_ms else ""
+    count = len(answer.claim.entries)
+    click.echo(f"{service}/{tier}: {count} endpoints at version {answer.claim.version}{old}", err=True)
+    if count:
+        Console().print(_rows(list(answer.claim.entries)), highlight=False)
+    return 0
+
+
+@command.command()
+@ADDRESS
+@IN_SERVICE
+@IN_TIER
+@click.option("--view", default="", help="Addresses as seen in this network.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a change.")
+@click.option("--seconds", type=click.FloatRange(0, min_open=True), help="End after so long.")
+def watch(address: Address, service: str, tier: str, view: str, as_json: bool, seconds: float | None) -> int:
+    """Print each change as it comes, through outages of the service, until Ctrl-C."""
+    follow = _follow(address, service, tier, view)
+
+    async def watched() -> None:
+        watching = Watch(follow, lambda verdict: _changed(list(verdict.entries), as_json))
+        watching.start()
+        try:
+            await asyncio.sleep(seconds if seconds is not None else float("inf"))
+        finally:
+            watching.stop()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(watched())
+    return 0
+
+
+def _changed(entries: list[Entry], as_json: bool) -> None:
+    for entry in entries:
+        if as_json:
+            click.echo(msgspec.json.encode(entry).decode())
+        else:
+            now = time.strftime("%T")
+            click.echo(f"{now} {entry.lifecycle.value:8} {entry.instance_id} {entry.host_port} {entry.zone}")
+    sys.stdout.flush()
+
+
+@command.command()
+@ADDRESS
+@click.argument("id_", metavar="ID")
+@click.argument("host_port", metavar="HOST:PORT")
+@IN_SERVICE
+@IN_TIER
+@click.option("--zone", default="")
+@click.option("--kind", default="", help="Its kind of machine.")
+@click.option("--cell", type=int, default=0)
+@click.option("--weight", type=float, default=1.0, show_default=True)
+@click.option("--lease", type=click.FloatRange(0.5, MOST_LEASE_S), help="Seconds; kept up until Ctrl-C.")
+@AT
+def put(
+    address: Address,
+    id_: str,
+    host_port: str,
+    service: str,
+    tier: str,
+    zone: str,
+    kind: str,
+    cell: int,
+    weight: float,
+    lease: float | None,
+    if_version: int | None,
+) -> int:
+    """Put a record. Without --lease it stays until it is removed; with one, for as long as this runs."""
+    entry: dict[str, Any] = {
+        "instance_id": id_,
+        "host_port": host_port,
+        "zone": zone,
+        "machine_type": kind,
+        "cell": cell,
+        "weight": weight,
+    }
+    told: dict[str, Any] = {"service": service, "tier": tier, "entry": entry}
+    if lease is not None:
+        entry["started_at_ms"] = time.time_ns() // 1_000_000
+        told |= {"owner": secrets.token_hex(8), "lease_ms": int(lease * 1000)}
+    record = _checked(told, Record)
+    call = calls.PutCall(record=record, if_version=if_version)
+    done = _ask(address, lambda line: line.post(calls.PUT, call, calls.Done))
+    click.echo(f"{id_}: version {done.version}")
+    if lease is not None:
+        _hold(address, record)
+    return 0
+
+
+def _hold(address: Address, record: Record) -> None:
+    """Renew the lease until Ctrl-C, then remove the record."""
+    from eiderhub.registry.client import Registration
+
+    async def always() -> bool:
+        return True
+
+    async def held() -> None:
+        registration = Registration(record, [address], always)
+        registration.start()
+        try:
+            await asyncio.sleep(float("inf"))
+        finally:
+            await registration.remove()
+
+    click.echo("held until Ctrl-C", err=True)
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(held())
+
+
+def _operate(path: str, address: Address, told: dict[str, Any]) -> int:
+    call = _checked({name: value for name, value in told.items() if value is not None}, calls.RecordCall)
+    done = _ask(address, lambda line: line.post(path, call, calls.Done))
+    click.echo(f"{call.id}: version {done.version}")
+    return 0
+
+
+@command.command()
+@ADDRESS
+@click.argument("id_", metavar="ID")
+@IN_SERVICE
+@IN_TIER
+@click.option("--undo", is_flag=True, help="It takes requests again.")
+@AT
+def drain(address: Address, id_: str, service: str, tier: str, undo: bool, if_version: int | None) -> int:
+    """Have an endpoint take nothing new, whatever its owner says, until --undo or its next start."""
+    told = {"service": service, "tier": tier, "id": id_, "undo": undo, "if_version": if_version}
+    return _operate(calls.DRAIN, address, told)
+
+
+@command.command()
+@ADDRESS
+@click.argument("id_", metavar="ID")
+@IN_SERVICE
+@IN_TIER
+@AT
+def remove(address: Address, id_: str, service: str, tier: str, if_version: int | None) -> int:
+    """Remove a record; the process that it was of does not come back, a later start may."""
+    told = {"service": service, "tier": tier, "id": id_, "if_version": if_version}
+    return _operate(calls.REMOVE, address, told)
+
+
+@command.command()
+@ADDRESS
+@JSON
+def status(address: Address, as_json: bool) -> int:
+    """Say how the service is; exit status 1 where it takes no writes, or has no list."""
+
+    async def asked(line: Line) -> calls.Status:
+        return read(await line.get(calls.STATUS, {}, 2.0), calls.Status)
+
+    found = _ask(address, asked)
+    told: dict[str, Any] = msgspec.to_builtins(found)
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+    else:
+        for name, value in told.items():
+            click.echo(f"{name:14} {value if value != '' else '-'}")
+    return 1 if found.store_failing or not found.identity else 0
+
+
+@command.group()
+def store() -> None:
+    """Look at a store; nothing is changed, and no process needs to run."""
+
+
+def _contents(folder: str) -> Any:
+    from eiderhub.registry import store as stores
+
+    try:
+        opened = stores.Folder(Path(folder), make=False, lock=False)
+        return stores.read(opened)
+    except stores.StoreError as error:
+        text = str(error)
+        raise _Damaged(text if text.startswith(folder) else f"{folder}/{text}") from None
+    except OSError as error:
+        raise _Damaged(f"{folder}: {error.strerror or error}") from None
+
+
+class _Damaged(click.ClickException):
+    """A store that can't be used."""
+
+
+@store.command()
+@click.argument("folder", metavar="DIR")
+def check(folder: str) -> int:
+    """Read all of the store in DIR: every entry, checksum and number; exit status 1 for damage."""
+    from eiderhub.registry.config import Document
+    from eiderhub.registry.server import new_core, recover
+
+    try:
+        contents = _contents(folder)
+        core = new_core(Document(listen="127.0.0.1:0", store=folder))
+        recover(core, contents)
+    except _Damaged as error:
+        click.echo(f"ottercleat: {error.message}", err=True)
+        return 1
+    except ValueError as error:
+        click.echo(f"ottercleat: {folder}: {error}", err=True)
+        return 1
+    for note in contents.notes:
+        click.echo(f"{folder}/{note} at the next start", err=True)
+    entries = sum(len(log.frames) for log in contents.logs)
+    click.echo(f"{folder}: ok, {entries} log entries, version {core.version}, {len(core.records)} records")
+    return 0
+
+
+@store.command()
+@click.argument("folder", metavar="DIR")
+@click.option("--log", "with_log", is_flag=True, help="The entries of the log, one JSON object a line.")
+def show(folder: str, with_log: bool) -> int:
+    """Print what the store in DIR holds, as JSON."""
+    from eiderhub.registry.config import Document
+    from eiderhub.registry.server import new_core, recover
+
+    try:
+        contents = _contents(folder)
+        if with_log:
+            for frame in contents.frames:
+                click.echo(frame.payload.decode())
+            return 0
+        core = new_core(Document(listen="127.0.0.1:0", store=folder))
+        recover(core, contents)
+    except _Damaged as error:
+        click.echo(f"ottercleat: {error.message}", err=True)
+        return 1
+    except ValueError as error:
+        click.echo(f"ottercleat: {folder}: {error}", err=True)
+        return 1
+    click.echo(json.dumps(msgspec.to_builtins(core.image()), indent=2))
+    return 0
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -26,7 +26,7 @@
 from eiderhub.emulator.roster import Roster
 from eiderhub.emulator.settings import settings_of
 from eiderhub.emulator.troubles import Troubles
-from eiderhub.http1 import OUR_LIMIT, Exchange, Pool, Reply
+from eiderhub.http1 import OUR_LIMIT, Exchange, Pool, Unanswered, fetch
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End, arrivals
 from eiderhub.world.day import Day, Plan, Post
@@ -118,40 +118,14 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-class _UpCall:
-    """Takes what comes of a call to /up: yes, no, or that nobody has answered."""
-
-    def __init__(self, told: asyncio.Future[bool | None]) -> None:
-        self._told = told
-
-    def _tell(self, yes: bool | None) -> None:
-        if not self._told.done():
-            self._told.set_result(yes)
-
-    def on_written(self) -> None: ...
-
-    def on_reply(self, reply: Reply) -> None:
-        self._tell(reply.status == 200)
-
-    def on_broken(self, first: bool) -> None:
-        self._tell(None)
-
-    def on_unreachable(self) -> None:
-        self._tell(None)
-
-
 async def is_up(host: str, port: int) -> bool | None:
     """What `/up` says; None where nobody answers."""
-    told: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
     pool = Pool(host, port, UP_WAIT_S)
-    ticket = pool.ask(UP, _UpCall(told))
     try:
-        async with asyncio.timeout(UP_WAIT_S):
-            return await told
-    except TimeoutError:
+        return (await fetch(pool, UP, UP_WAIT_S)).status == 200
+    except Unanswered:
         return None
     finally:
-        ticket.drop()
         pool.close()
 
 
--- a/eiderhub/emulator/doors.py
+++ b/eiderhub/emulator/doors.py
@@ -52,7 +52,9 @@
             self.port = self._claim.getsockname()[1]
         if self._server is None:
             self._server = await asyncio.get_running_loop().create_server(
-                lambda: ServerConnection(self._serve, self._clock, self.connections, self._on_open),
+                lambda: ServerConnection(
+                    self._serve, self._clock, self.connections, lambda _: self._on_open()
+                ),
                 self.host,
                 self.port,
                 backlog=BACKLOG,
--- a/eiderhub/http1.py
+++ b/eiderhub/http1.py
@@ -1,6 +1,6 @@
-"""HTTP/1.1 for stand-ins: what an endpoint or discovery reads and answers, and what a caller asks.
+"""HTTP/1.1 for the list service and stand-ins: what a server reads and answers, and what a caller asks.
 
-Parsing is httptools'; here is only who is told what, and when a connection may be used again.
+Parsing is httptools'; here is only who is told what, when a connection is used again, and what is too much.
 """
 
 from __future__ import annotations
@@ -9,27 +9,45 @@
 import errno
 import socket
 import struct
+from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Protocol, cast
+from typing import Any, NamedTuple, Protocol, cast
 
 import httptools
 
 OUR_LIMIT = (errno.EMFILE, errno.ENFILE)  # no descriptor is left in this process, or on this machine
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+MOST_HEAD = 64 * 1024  # bytes of a request's target and headers
+MOST_QUEUED = 16  # requests that a caller may send before their turn
+MOST_ANSWER = 64 << 20  # bytes of an answer's body
 
 
-def render(status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+def head(status: int, headers: list[tuple[bytes, bytes]], length: int) -> bytes:
     lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
     lines += [b"%s: %s" % header for header in headers]
-    return b"\r\n".join(lines) + b"\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    return b"\r\n".join(lines) + b"\r\nContent-Length: %d\r\n\r\n" % length
+
+
+def render(status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+    return head(status, headers, len(body)) + body
+
+
+class Bounds(NamedTuple):
+    """What one caller may take."""
+
+    body_bytes: int = 1 << 20  # of a request
+    unsent_bytes: int = 4 << 20  # of answers that the caller has not read yet
+    reader_s: float = 0.0  # for so long, and no longer, it may leave them; 0: for ever
 
 
 class Exchange:
     """One request as a server got it; it is answered at most once, and its caller may go before that."""
 
-    __slots__ = ("_connection", "body", "first", "first_us", "gone", "headers", "method", "on_gone", "url")
+    __slots__ = (
+        "_connection", "body", "first", "first_us", "gone", "headers", "keep", "method", "on_gone", "url",
+    )  # fmt: skip
 
     def __init__(self, connection: ServerConnection, first: bool, first_us: int) -> None:
         self._connection = connection
@@ -39,11 +57,18 @@
         self.body = b""
         self.first = first  # on its connection
         self.first_us = first_us  # when its first byte came
+        self.keep = True  # whether the connection goes on after the answer
         self.gone = False
         self.on_gone: Callable[[Exchange], None] | None = None
 
     def answer(self, status: int, body: bytes = b"", *headers: tuple[bytes, bytes]) -> None:
-        self.write(render(status, list(headers), body))
+        if self.gone:
+            return
+        lines = list(headers) if self.keep else [*headers, (b"Connection", b"close")]
+        # Two writes: the body may be many callers', and is not copied for each.
+        self._connection.transport.write(head(status, lines, len(body)))
+        if body:
+            self._connection.transport.write(body)
         self._connection.over(self)
 
     def write(self, data: bytes) -> None:
@@ -63,8 +88,14 @@
         serve: Callable[[Exchange], None],
         clock: Callable[[], int],
         connections: set[ServerConnection],
-        on_open: Callable[[], None] = lambda: None,
+        on_open: Callable[[ServerConnection], None] = lambda _: None,
+        bounds: Bounds | None = None,
     ) -> None:
+        self._bounds = bounds or Bounds()
+        self._waiting: deque[Exchange] = deque()  # that came before their turn
+        self._reading: Exchange | None = None
+        self._head = 0
+        self._slow: asyncio.TimerHandle | None = None
         self._serve = serve
         self._clock = clock
         self._connections = connections
@@ -76,18 +107,37 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not `isinstance`: uvloop's transports only have the shape of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        if self._bounds.reader_s:
+            self.transport.set_write_buffer_limits(high=self._bounds.unsent_bytes, low=0)
         self._connections.add(self)
-        self._on_open()
+        self._on_open(self)
 
     def data_received(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.transport.write(render(400, [(b"Connection", b"close")], b""))
-            self.transport.close()
+            if not self.transport.is_closing():
+                self.refuse(400)
+
+    def refuse(self, status: int, *headers: tuple[bytes, bytes]) -> None:
+        """An answer to no request in particular, and the end of the connection."""
+        self.transport.write(render(status, [*headers, (b"Connection", b"close")], b""))
+        self.transport.close()
+
+    def pause_writing(self) -> None:
+        if self._bounds.reader_s and self._slow is None:
+            loop = asyncio.get_running_loop()
+            self._slow = loop.call_later(self._bounds.reader_s, self.transport.abort)
+
+    def resume_writing(self) -> None:
+        if self._slow is not None:
+            self._slow.cancel()
+            self._slow = None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.resume_writing()
         self._connections.discard(self)
+        self._waiting.clear()
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.gone = True
@@ -95,9 +145,18 @@
                 exchange.on_gone(exchange)
 
     def over(self, exchange: Exchange) -> None:
+        exchange.gone = True
         if self._exchange is exchange:
             self._exchange = None
-        exchange.gone = True
+        if not exchange.keep:
+            self.transport.close()
+        elif self._waiting and self._exchange is None:
+            asyncio.get_running_loop().call_soon(self._next)
+
+    def _next(self) -> None:
+        if self._waiting and self._exchange is None and not self.transport.is_closing():
+            self._exchange = self._waiting.popleft()
+            self._serve(self._exchange)
 
     def reset(self) -> None:
         sock: Any = self.transport.get_extra_info("socket")
@@ -107,25 +166,46 @@
     # --- the parser's calls ---
 
     def on_message_begin(self) -> None:
-        self._exchange = Exchange(self, self._count == 0, self._clock())
+        self._reading = Exchange(self, self._count == 0, self._clock())
         self._count += 1
+        self._head = 0
+
+    def _more_head(self, size: int) -> None:
+        self._head += size
+        if self._head > MOST_HEAD:
+            self.refuse(431)
+            raise ValueError("the head is too long")
 
     def on_url(self, url: bytes) -> None:
-        if self._exchange is not None:
-            self._exchange.url += url
+        self._more_head(len(url))
+        if self._reading is not None:
+            self._reading.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._exchange is not None:
-            self._exchange.headers[name.lower()] = value
+        self._more_head(len(name) + len(value))
+        if self._reading is not None:
+            self._reading.headers[name.lower()] = value
 
     def on_body(self, body: bytes) -> None:
-        if self._exchange is not None:
-            self._exchange.body += body
+        if self._reading is not None:
+            self._reading.body += body
+            if len(self._reading.body) > self._bounds.body_bytes:
+                self.refuse(413)
+                raise ValueError("the body is too long")
 
     def on_message_complete(self) -> None:
+        exchange, self._reading = self._reading, None
+        if exchange is None or self.transport.is_closing():
+            return
+        exchange.method = self._parser.get_method()
+        exchange.keep = self._parser.should_keep_alive()
         if self._exchange is not None:
-            self._exchange.method = self._parser.get_method()
-            self._serve(self._exchange)
+            if len(self._waiting) >= MOST_QUEUED:
+                self.transport.abort()
+            self._waiting.append(exchange)
+            return
+        self._exchange = exchange
+        self._serve(exchange)
 
 
 class Reply:
@@ -170,6 +250,7 @@
         self._count = 0
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
+        self._size = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -178,7 +259,7 @@
     def ask(self, data: bytes, asker: Asker) -> None:
         self._asker = asker
         self._count += 1
-        self._headers, self._body = {}, []
+        self._headers, self._body, self._size = {}, [], 0
         self.transport.write(data)
         asker.on_written()
 
@@ -206,6 +287,9 @@
         self._headers[name.lower()] = value
 
     def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MOST_ANSWER:
+            raise ValueError("the answer is too long")
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -296,3 +380,48 @@
             task.cancel()
         for connection in list(self.open):
             connection.close()
+
+
+class Unanswered(Exception):
+    """A call has brought no whole answer, and why."""
+
+
+class _Fetch:
+    """Who waits for one answer."""
+
+    def __init__(self) -> None:
+        self.told: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+
+    def _fail(self, why: str) -> None:
+        if not self.told.done():
+            self.told.set_exception(Unanswered(why))
+
+    def on_written(self) -> None: ...
+
+    def on_reply(self, reply: Reply) -> None:
+        if not self.told.done():
+            self.told.set_result(reply)
+
+    def on_broken(self, first: bool) -> None:
+        self._fail("the connection broke")
+
+    def on_unreachable(self) -> None:
+        self._fail("no connection")
+
+
+async def fetch(pool: Pool, data: bytes, wait_s: float, fresh: bool = False) -> Reply:
+    """One request and its answer.
+
+    Raises:
+        Unanswered: none came in time, or the connection broke or never came up.
+    """
+    asker = _Fetch()
+    ticket = pool.ask(data, asker, fresh)
+    try:
+        async with asyncio.timeout(wait_s):
+            return await asker.told
+    except TimeoutError:
+        raise Unanswered(f"no answer within {wait_s:.3g} s") from None
+    finally:
+        if not asker.told.done() or asker.told.cancelled() or asker.told.exception() is not None:
+            ticket.drop()
--- a/eiderhub/registry/core.py
+++ b/eiderhub/registry/core.py
@@ -44,6 +44,8 @@
 FLAP_WINDOW_US = 60 * S  # within this
 HISTORY = 4096  # changes that are kept for those who follow them
 TOMBSTONES = 4096
+AHEAD_US = 10 * S  # a store that was set back goes past what it has lost no sooner
+MOST_AHEAD = 1 << 32
 TOMBSTONE_US = 3600 * S  # how long a removed process is kept from coming back, at least
 
 
@@ -121,6 +123,8 @@
         self._flaps: dict[Key, _Flaps] = {}
         self._buried_us: deque[tuple[int, int]] = deque()  # when which version's tombstone was laid
         self._looked_us: int | None = None
+        self._opened_us = 0
+        self._ahead = 0  # a version that somebody has, and that the store has lost
 
     # --- the past: from a store, or from the main service ---
 
@@ -155,8 +159,9 @@
             tombstones=list(self.tombstones.values()),
         )
 
-    def open(self) -> Change:
+    def open(self, now_us: int) -> Change:
         """Begin a branch: versions from here on are this opening's."""
+        self._opened_us = now_us
         self._decided += 1
         name = f"{self._entropy.getrandbits(48):012x}"
         return Opened(version=self._decided, branch=Branch(name=name, after=self.version))
@@ -172,6 +177,23 @@
                 return one.after <= version <= (self.version if after is None else after.after)
         return False
 
+    def ahead(self, identity: str, version: int) -> None:
+        """Somebody has a list of ours that we do not know: the store was set back."""
+        if identity == self.identity and version < self.version + MOST_AHEAD:
+            self._ahead = max(self._ahead, version)
+
+    def _catch_up(self, now_us: int) -> list[Change]:
+        """Go past the versions that were lost, once those who live have had time to register again.
+
+        Clients never go back, so until then they keep the lists that they have.
+        """
+        longest = max((lease.length_us for lease in self._leases.values()), default=0)
+        if self._ahead <= self._decided or now_us - self._opened_us < max(longest, AHEAD_US):
+            return []
+        self._decided = self._ahead + 1
+        name = f"{self._entropy.getrandbits(48):012x}"
+        return [Opened(version=self._decided, branch=Branch(name=name, after=self._ahead))]
+
     # --- writes ---
 
     def put(self, now_us: int, record: Record, if_version: int | None = None) -> Decision:
@@ -319,6 +341,9 @@
     def look(self, now_us: int) -> tuple[list[Change], list[Told]]:
         """Which leases end now. The changes are decided, not applied; call it at least twice a second."""
         told: list[Told] = []
+        changes = self._catch_up(now_us)
+        if changes:
+            told.append(Told("the store was set back; going past what it has lost", {"to": self._decided}))
         before, self._looked_us = self._looked_us, now_us
         if before is not None and now_us - before > PAUSE_US:
             stood = now_us - before
@@ -334,10 +359,10 @@
         due = [
             key for key, lease in self._leases.items() if lease.due_us <= now_us and key not in self.pending
         ]
+        changes += self._sweep(now_us)
         if not due:
-            return self._sweep(now_us), told
+            return changes, told
         silent = self._silent(now_us)
-        changes = self._sweep(now_us)
         for key in due:
             zone = self.records[key].entry.zone
             lease = self._leases[key]
@@ -417,7 +442,8 @@
         Raises:
             ValueError: where one is left out, or told twice.
         """
-        if change.version != self.version + 1:
+        jumps = isinstance(change, Opened) and change.version == change.branch.after + 1 > self.version
+        if change.version != self.version + 1 and not jumps:
             raise ValueError(f"version {change.version} does not follow {self.version}")
         self.version = change.version
         self._history.append(change)
@@ -471,15 +497,12 @@
         self._newest[key.group] = version
 
     def withdraw(self, changes: Iterable[Change]) -> None:
-        """These could not be made durable, nor could what was decided after them: as if never asked."""
+        """All that is decided and not applied could not be made durable: as if never asked."""
         for change in changes:
-            if isinstance(change, Put):
-                self.pending.pop(change.record.key, None)
-            elif isinstance(change, Gone):
-                self.pending.pop(change.key, None)
-            elif isinstance(change, Forgotten):
+            if isinstance(change, Forgotten):
                 self._buried_us.extendleft([(0, change.up_to)])
-            self._decided = min(self._decided, change.version - 1)
+        self.pending.clear()
+        self._decided = self.version
 
     # --- reads ---
 
