Let a sidecar follow the list service and register the endpoint beside it, off by default

[registry] and [register] in TOML alone: the same keys in the platform's JSON are skipped, so what the platform names keeps its meaning, and the sidecar imports the client only where a table asks for it.

--- a/eiderhub/registry/client.py
+++ b/eiderhub/registry/client.py
@@ -197,6 +197,16 @@
         for line in self._lines:
             line.close()
 
+    def move(self, follow: Follow) -> None:
+        """Ask other addresses from now on; what is known of the list stays."""
+        running = self._task is not None
+        self.stop()
+        self.follow = follow
+        self._lines = [Line(parse(address)) for address in follow.addresses]
+        self._sources = Sources(len(self._lines))
+        if running:
+            self.start()
+
     async def _run(self) -> None:
         while True:
             wait_s = await self._once()
@@ -328,6 +338,7 @@
         self._lease_s = record.lease_ms / 1000
         self._rng = random.Random(secrets.randbits(64))
         self._held = False
+        self._lived_us: int | None = None  # when the endpoint was last found alive
         self._task: asyncio.Task[None] | None = None
         self.over = ""  # why it has ended for good
         self.put = asyncio.Event()  # set once the record has been put
@@ -388,7 +399,7 @@
 
     async def _register(self) -> float:
         """Put the record where the endpoint lives; returns the seconds until the next look."""
-        if not await self._alive():
+        if not await self._lives():
             return self._every_s
         call = calls.PutCall(record=self.record)
         await self._writer.post(calls.PUT, call, calls.Done)
@@ -397,10 +408,24 @@
         log.info("registered", id=self.record.entry.instance_id, address=self.record.entry.host_port)
         return 0.0
 
-    async def _renew(self) -> None:
+    async def _lives(self) -> bool:
+        """Whether the endpoint lives; one that was away for a whole lease has started anew."""
         if not await self._alive():
+            return False
+        now, before = now_us(), self._lived_us
+        self._lived_us = now
+        if before is not None and now - before > self._lease_s * 1e6:
+            entry = msgspec.structs.replace(self.record.entry, started_at_ms=time.time_ns() // 1_000_000)
+            self.record = msgspec.structs.replace(self.record, entry=entry)
+            self._held = False
+        return True
+
+    async def _renew(self) -> None:
+        if not await self._lives():
             log.warning("the endpoint does not answer; its lease is not renewed", id=self.named.id)
             return
+        if not self._held:
+            return
         call = calls.RenewCall(records=[_plain(self.named)])
         renewed = await self._writer.post(calls.RENEW, call, calls.Renewed)
         if renewed.statuses[0] != 200:
--- a/eiderhub/registry/core.py
+++ b/eiderhub/registry/core.py
@@ -446,6 +446,9 @@
         if change.version != self.version + 1 and not jumps:
             raise ValueError(f"version {change.version} does not follow {self.version}")
         self.version = change.version
+        if jumps:  # what was lost in between can't be told by changes
+            self._history.clear()
+            self._from = change.version
         self._history.append(change)
         while len(self._history) > self._depth:
             self._from = self._history.popleft().version
--- a/eiderhub/registry/server.py
+++ b/eiderhub/registry/server.py
@@ -399,11 +399,14 @@
             self._busy(exchange, "the service has just begun anew")
             return
         known = after is not None and 0 < after <= self.core.version and self._continues(ask)
-        if known and wait_ms and (after or 0) >= self.core.newest(group):
+        if known and wait_ms:
             if len(self._watches) >= self._limits.watches:
                 self._busy(exchange, "too many watches")
                 return
-            ticket = self._watches.add(ask, group, now_us() + wait_ms * 1000)
+            now = now_us()
+            ticket = self._watches.add(ask, group, now + wait_ms * 1000)
+            if (after or 0) < self.core.newest(group):
+                self._watches.changed(now, group)
             exchange.on_gone = lambda _: self._watches.drop(ticket, group)
             self._arm()
         else:
--- a/eiderhub/registry/watches.py
+++ b/eiderhub/registry/watches.py
@@ -21,7 +21,10 @@
 
 
 class Watches(Generic[T]):
-    """All that wait. A group that changes is told once, a little later, however often it changes."""
+    """All that wait. A group that changes is told once, a little later, however often it changes.
+
+    Who comes back with something to be told already waits for the next round as well: `changed` says so.
+    """
 
     def __init__(self) -> None:
         self._serial = 0
@@ -29,7 +32,7 @@
         self._waiting: dict[Group, dict[int, Watch]] = {}
         self._until: list[tuple[int, int, Group]] = []
         self._due: dict[Group, int] = {}  # groups that have changed: when they are told
-        self._told: dict[Group, int] = {}  # when they were last told
+        self._told: dict[Group, tuple[int, int]] = {}  # when how many were last told
 
     def __len__(self) -> int:
         return len(self._callers)
@@ -39,31 +42,43 @@
         watch = Watch(self._serial, group, until_us)
         self._callers[watch.ticket] = caller
         self._waiting.setdefault(group, {})[watch.ticket] = watch
+        if len(self._until) > 2 * len(self._callers) + 64:  # most are of watches that were told long ago
+            self._until = [each for each in self._until if each[1] in self._callers]
+            heapq.heapify(self._until)
         heapq.heappush(self._until, (until_us, watch.ticket, group))
         return watch.ticket
 
     def drop(self, ticket: int, group: Group) -> None:
         self._callers.pop(ticket, None)
-        self._waiting.get(group, {}).pop(ticket, None)
+        self._leave(ticket, group)
+
+    def _leave(self, ticket: int, group: Group) -> None:
+        waiting = self._waiting.get(group, {})
+        waiting.pop(ticket, None)
+        if not waiting:  # anybody may name any group
+            self._waiting.pop(group, None)
 
     def changed(self, now_us: int, group: Group) -> None:
         if group not in self._due:
-            pause = max(GATHER_US, EACH_US * len(self._waiting.get(group, ())))
-            self._due[group] = max(now_us + GATHER_US, self._told.get(group, 0) + pause)
+            # Most of those who were just told are on their way back, and count as well.
+            when, told = self._told.get(group, (now_us, 0))
+            pause = EACH_US * max(told, len(self._waiting.get(group, ())) if told else 0)
+            self._due[group] = max(now_us + GATHER_US, when + pause)
 
     def due(self, now_us: int) -> list[T]:
         """Those to be answered now: their group has changed, or their time is over."""
         found: list[T] = []
         for group in [group for group, when in self._due.items() if when <= now_us]:
             del self._due[group]
-            self._told[group] = now_us
-            for ticket in self._waiting.pop(group, {}):
+            waiting = self._waiting.pop(group, {})
+            self._told[group] = (now_us, len(waiting))
+            for ticket in waiting:
                 found.append(self._callers.pop(ticket))
         while self._until and (self._until[0][0] <= now_us or self._until[0][1] not in self._callers):
             _, ticket, group = heapq.heappop(self._until)
             if ticket in self._callers:
                 found.append(self._callers.pop(ticket))
-                del self._waiting[group][ticket]
+                self._leave(ticket, group)
         return found
 
     def next_us(self) -> int | None:
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -8,12 +8,14 @@
 from pathlib import Path
 from typing import Annotated, Any
 
+import msgspec
 from msgspec import Meta, Struct
 
 from eiderhub.address import PATTERN, Address, AddressText, parse
 from eiderhub.interface import Settings
 from eiderhub.reading import DocumentError, convert
 from eiderhub.reading import parse as parse_file
+from eiderhub.registry.settings import Follow, Register
 from eiderhub.settings import Setup
 from eiderhub.sidecar.discovery import Listing, Roll
 from eiderhub.sidecar.logs import LINES_PER_S, Form
@@ -22,6 +24,9 @@
 MEMORY_MB = 128  # likewise
 
 
+PEOPLE_ONLY = ("registry", "register")  # tables that only TOML may have
+
+
 class ConfigError(Exception):
     """A configuration that no sidecar can start from, worded for those on call."""
 
@@ -51,6 +56,12 @@
     limits: Bounds = Bounds()
     log: Log = Log()
     known: Roll | None = None  # the list of endpoints as it was last known
+    registry: Follow | None = None  # the project's own list service, in place of `discovery`
+    register: Register | None = None  # the endpoint beside us, with that service
+
+    def __post_init__(self) -> None:
+        if self.register is not None and not self.register.addresses and self.registry is None:
+            raise ValueError("register.addresses: missing, and there is no [registry] to take them from")
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +77,8 @@
     memory: int = MEMORY_MB << 20  # bytes
     log: Log = field(default_factory=Log)
     tier: str = ""
+    follow: Follow | None = None
+    register: Register | None = None
 
 
 def parse_address(text: str | None, key: str) -> Address:
@@ -85,6 +98,9 @@
         DocumentError: with all of its faults.
     """
     document, people = parse_file(Path(path))
+    if not people and isinstance(document, dict):
+        # What the platform's configuration names keeps the platform's meaning, whatever it may come to name.
+        document = {key: value for key, value in document.items() if key not in PEOPLE_ONLY}
     found: Document = convert(document, Document, path, people)
     return found
 
@@ -99,9 +115,10 @@
         raise ConfigError(str(error)) from None
 
 
-def load_discovery(environ: Mapping[str, str]) -> Address:
-    """Discovery's address as the file has it now: after SIGHUP the variable still holds the one before."""
-    return parse_address(_document(environ).discovery, "discovery")
+def load_discovery(environ: Mapping[str, str]) -> Address | Follow:
+    """Discovery as the file has it now: after SIGHUP the variable still holds the address before."""
+    document = _document(environ)
+    return document.registry or parse_address(document.discovery, "discovery")
 
 
 def _seed(value: str | int) -> int:
@@ -124,7 +141,7 @@
     return Config(
         name=environ.get("GW_NAME") or document.name,
         listen=address("GW_LISTEN", document.listen),
-        discovery=address("GW_DISCOVERY", document.discovery),
+        discovery=Address("", 0) if document.registry else address("GW_DISCOVERY", document.discovery),
         seed=_seed(document.seed),
         sockets=document.limits.sockets,
         known=document.known.listing() if document.known is not None else Listing(0, True, []),
@@ -133,9 +150,18 @@
         memory=int(document.limits.memory_mb * (1 << 20)),
         log=document.log,
         tier=str(tiers[document.settings.layer]),
+        follow=document.registry,
+        register=_with_addresses(document),
     )
 
 
+def _with_addresses(document: Document) -> Register | None:
+    register, follow = document.register, document.registry
+    if register is None or register.addresses or follow is None:
+        return register
+    return msgspec.structs.replace(register, addresses=follow.addresses)
+
+
 def load(environ: Mapping[str, str]) -> Config:
     """Read the configuration.
 
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import structlog
 
@@ -22,6 +22,9 @@
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
 
+if TYPE_CHECKING:
+    from eiderhub.sidecar.following import Following
+
 ANSWER_MARGIN_US = 40_000  # an answer leaves this long before the client's deadline: its bytes take time too
 log = structlog.get_logger()
 
@@ -101,7 +104,17 @@
             self.figures,
             most_kept(memory, most),
         )
-        self.watcher = Watcher(
+        self.watcher: Watcher | Following = self._watcher(config)
+        self.balancer = Balancer(settings, config.seed, self)
+        self.known = config.known
+
+    def _watcher(self, config: Config) -> Watcher | Following:
+        if config.follow is not None:
+            from eiderhub.sidecar.following import Following  # only where it is asked for
+
+            return Following(config.follow, self.on_list)
+        settings = config.settings
+        return Watcher(
             config.discovery.host,
             config.discovery.port,
             config.known.generation,
@@ -109,19 +122,20 @@
             settings.rules.ask_every_us,
             self.on_list,
         )
-        self.balancer = Balancer(settings, config.seed, self)
-        self.known = config.known
 
     def start(self) -> None:
         """Start the module on the list that was known last, which is in use until discovery answers."""
         self.balancer.start(now_us())
-        self.on_list(ListForm.CACHED, self.known.entries)
-        if self.settings.discovery is Discovery.PUSH:
+        kept = not isinstance(self.watcher, Watcher) and self.watcher.recall()
+        if not kept:
+            self.on_list(ListForm.CACHED, self.known.entries)
+        if self.settings.discovery is Discovery.PUSH or not isinstance(self.watcher, Watcher):
             self.watcher.turn(True)
 
     def figure_lines(self) -> list[str]:
         down = self.listed.intersection(self.balancer.hosts_down(now_us()))
-        return self.figures.lines(len(self.listed), len(down))
+        lines = self.figures.lines(len(self.listed), len(down))
+        return lines if isinstance(self.watcher, Watcher) else [*lines, *self.watcher.figures()]
 
     def _tell(self, event: Callable[..., None], *values: Any) -> bool:
         """Tell the module; its failure must neither end the process nor lose what it holds."""
--- a/eiderhub/sidecar/process.py
+++ b/eiderhub/sidecar/process.py
@@ -10,13 +10,18 @@
 import signal
 import socket
 import sys
+import time
+from functools import partial
+from typing import TYPE_CHECKING
 
 import structlog
 import uvloop
 
+from eiderhub.address import Address
 from eiderhub.sidecar.bodies import most_kept
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.config import Config, ConfigError, load, load_discovery
+from eiderhub.sidecar.discovery import Watcher
 from eiderhub.sidecar.handover import Presence, inherited_socket, recollect, remember
 from eiderhub.sidecar.host import Host
 from eiderhub.sidecar.lifecycle import FLUSH_S, Lifecycle
@@ -24,6 +29,10 @@
 from eiderhub.sidecar.management import MOST, OWN_DESCRIPTORS, Management
 from eiderhub.sidecar.server import Server
 
+if TYPE_CHECKING:
+    from eiderhub.registry.client import Registration
+    from eiderhub.registry.settings import Register
+
 CALLERS_SHARE = 0.55  # of the descriptors, for callers
 UPSTREAM_SHARE = 0.4  # and for connections to endpoints; the few that are left are for all else
 LONGEST_S = 3.0  # SIGKILL comes this, or the longest deadline if that is shorter, and 0.7 s after SIGTERM
@@ -31,6 +40,7 @@
 SHARE_EVERY_S = 0.1  # how often we look for other processes of this sidecar
 REMEMBER_TURNS = 5  # of these: how often what was learned is written down
 FIRST_LIST_S = 2.0  # how long a process beside another waits for a list before it serves all the same
+LEAVE_S = 0.3  # for the list service to hear that we are gone
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -81,8 +91,30 @@
     except ConfigError as error:
         log.error("the configuration was not reloaded", reason=str(error))
         return
-    log.info("discovery has moved", to=f"{address.host}:{address.port}")
-    host.watcher.move(address.host, address.port)
+    if isinstance(address, Address) and isinstance(host.watcher, Watcher):
+        log.info("discovery has moved", to=f"{address.host}:{address.port}")
+        host.watcher.move(address.host, address.port)
+    elif not isinstance(address, Address) and not isinstance(host.watcher, Watcher):
+        log.info("discovery has moved", to=", ".join(address.addresses))
+        host.watcher.move(address)
+    else:
+        log.error(
+            "the configuration was not reloaded", reason="[registry] needs a restart"
+        )
+
+
+def begin_registration(register: Register) -> Registration:
+    """Have the endpoint beside us listed for as long as it lives and we do."""
+    from eiderhub.address import parse
+    from eiderhub.registry.client import Registration, lives, record_of  # only where it is asked for
+
+    endpoint = parse(register.address)
+    record = record_of(register, time.time_ns() // 1_000_000)
+    addresses = [parse(text) for text in register.addresses]
+    alive = partial(lives, endpoint, register.alive)
+    registration = Registration(record, addresses, alive, register.alive_every_s)
+    registration.start()
+    return registration
 
 
 async def serve(config: Config, inherited: socket.socket | None, directory: str | None) -> None:
@@ -124,10 +156,17 @@
             await asyncio.wait_for(host.named.wait(), FIRST_LIST_S)
     await server.listener.start_serving()
     log.info("serves", listen=f"{config.listen.host}:{config.listen.port}")
+    registration = begin_registration(config.register) if config.register is not None else None
     await stop.wait()
+    told = loop.create_task(registration.drain()) if registration is not None else None
     await drain(server.lifecycle, server, host, inherited is not None and presence.others() > 0)
     for task in background:
         task.cancel()
+    if registration is not None and told is not None:
+        told.cancel()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_S):
+                await registration.remove()
 
 
 def main() -> int:
