Play any scenario with the real list service, over wires that can be cut; five scenarios of its failures

The gap in time was noticed by a timer, and a call that came in with it looked at the leases first; looking now notices by itself. Only an endpoint that was found dead for a whole lease has started anew. When more than three quarters of all are silent it is the service that is cut off, and nothing ends; followers hold changes against what they have as well. * KeyError in the world's endpoint when a request was cancelled in the moment of its end: mended.

--- a/eiderhub/cli/config.py
+++ b/eiderhub/cli/config.py
@@ -11,7 +11,7 @@
 import msgspec
 import tomli_w
 
-from eiderhub.reading import DocumentError, Fault
+from eiderhub.reading import DocumentError, Fault, by_people
 from eiderhub.sidecar.config import ConfigError, Document, config_of, read_document
 from eiderhub.world import scenario as scenarios
 
@@ -49,7 +49,7 @@
 @SCENARIO
 def show(path: str, scenario: bool) -> None:
     """Print what FILE comes to, with every default, as TOML for people."""
-    document = _by_people(_read(path, scenario))
+    document = by_people(_read(path, scenario))
     assert isinstance(document, dict)
     click.echo(tomli_w.dumps(document), nl=False)
 
@@ -68,16 +68,6 @@
     click.echo(json.dumps(found, indent=2))
 
 
-def _by_people(value: Any) -> Any:
-    """A struct as plain data under its attributes' names; what is not told is left out."""
-    if isinstance(value, msgspec.Struct):
-        pairs = ((name, getattr(value, name)) for name in value.__struct_fields__)
-        return {name.rstrip("_"): _by_people(item) for name, item in pairs if item is not None}
-    if isinstance(value, list | tuple):
-        return [_by_people(item) for item in value]
-    return msgspec.to_builtins(value)
-
-
 def _renamed(schema: dict[str, Any]) -> dict[str, Any]:
     """The schema with people's names for its properties; the platform's are the same words in other case."""
 
--- a/eiderhub/cli/demo.py
+++ b/eiderhub/cli/demo.py
@@ -33,6 +33,7 @@
     json_file: str | None,
     logs: Path | None,
     command: str | None,
+    real_lists: bool,
     listed: bool,
 ) -> int:
     """Play a deployment on loopback and print what came of it.
@@ -50,7 +51,7 @@
         day = dataclasses.replace(day, length_us=int(seconds * 1e6))
     out = Console(stderr=json_file == "-")
     try:
-        result, interrupted = playing.run(lambda: playing.play(day, playing.split(command), logs))
+        result, interrupted = playing.run(lambda: playing.play(day, playing.split(command), logs, real_lists))
     except DeploymentError as error:  # it never began
         screen.show_crash(str(error), error.tail, Console(stderr=True))
         return 1
--- a/eiderhub/cli/emulate.py
+++ b/eiderhub/cli/emulate.py
@@ -22,7 +22,13 @@
 @click.option("--traffic", is_flag=True, help="Play the scenario's clients, too, once.")
 @of_a_day
 def command(
-    scenario: str, seed: int, traffic: bool, json_file: str | None, logs: Path | None, command: str | None
+    scenario: str,
+    seed: int,
+    traffic: bool,
+    json_file: str | None,
+    logs: Path | None,
+    command: str | None,
+    real_lists: bool,
 ) -> int:
     """Start the deployment of SCENARIO (a name, or a TOML file), print its addresses, and keep it up.
 
@@ -33,7 +39,7 @@
     day = draw(scenarios.load(scenario), seed, Path(scenario).stem)
     out = Console(stderr=json_file == "-")
     try:
-        result = playing.run(lambda: _keep_up(day, playing.split(command), logs, traffic, out))
+        result = playing.run(lambda: _keep_up(day, playing.split(command), logs, traffic, real_lists, out))
     except DeploymentError as error:
         screen.show_crash(str(error), error.tail, Console(stderr=True))
         return 1
@@ -48,10 +54,11 @@
     command: list[str] | None,
     logs: Path | None,
     traffic: bool,
+    real_lists: bool,
     out: Console,
 ) -> Result:
     failed: DeploymentError | None = None
-    deployment = Deployment(day, command, logs, strangers=True)
+    deployment = Deployment(day, command, logs, strangers=True, real_lists=real_lists)
     click.echo(f"starting {len(day.posts)} sidecars and {len(day.plans)} endpoints", err=True)
     async with deployment:
         show_addresses(deployment, out)
--- a/eiderhub/cli/options.py
+++ b/eiderhub/cli/options.py
@@ -36,6 +36,9 @@
 def of_a_day(function: F) -> F:
     """The options of commands that start a deployment."""
     for option in (
+        click.option(
+            "--registry", "real_lists", is_flag=True, help="The real list service, in place of the stand-in."
+        ),
         click.option("--command", help="What starts a sidecar, instead of this build."),
         click.option(
             "--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the sidecars' logs there."
--- a/eiderhub/cli/playing.py
+++ b/eiderhub/cli/playing.py
@@ -55,11 +55,13 @@
     return f"{outside.ended} ended, {outside.served} served, {len(outside.open)} open"
 
 
-async def play(day: Day, command: list[str] | None, logs: Path | None) -> tuple[Result, bool]:
+async def play(
+    day: Day, command: list[str] | None, logs: Path | None, real_lists: bool = False
+) -> tuple[Result, bool]:
     """One day, from start to end; what was measured, and whether it was interrupted."""
     interrupted = False
     failed: DeploymentError | None = None
-    deployment = Deployment(day, command, logs)
+    deployment = Deployment(day, command, logs, real_lists=real_lists)
     with progress(day.name) as tell:
         tell(0.0, f"starting {len(day.posts)} sidecars")
         async with deployment:
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -14,6 +14,7 @@
 
 from eiderhub.emulator.callers import Outside, Target, Try
 from eiderhub.emulator.clock import IN_DOUBT_MS, Clock
+from eiderhub.emulator.lists import Lists, StandIn
 from eiderhub.emulator.machines import Job, Jobs, Machine
 from eiderhub.emulator.processes import (
     Process,
@@ -23,14 +24,14 @@
     listening,
     new_folder,
 )
-from eiderhub.emulator.roster import Roster
+from eiderhub.emulator.services import ServiceError, Services
 from eiderhub.emulator.settings import settings_of
 from eiderhub.emulator.troubles import Troubles
 from eiderhub.http1 import OUR_LIMIT, Exchange, Pool, Unanswered, fetch
 from eiderhub.interface import Effect
 from eiderhub.world.clients import End, arrivals
 from eiderhub.world.day import Day, Plan, Post
-from eiderhub.world.endpoint import Endpoint, dedup_groups
+from eiderhub.world.endpoint import Endpoint, State, dedup_groups
 from eiderhub.world.front import Front
 from eiderhub.world.judge import Judge, Verdict
 from eiderhub.world.network import Network, spread
@@ -75,6 +76,7 @@
     notes: list[str] = field(default_factory=list)
     crash: str | None = None
     crash_log: list[str] = field(default_factory=list)
+    services: dict[str, dict[str, float]] = field(default_factory=dict)  # what the list service used
 
     @property
     def in_doubt(self) -> bool:
@@ -103,6 +105,7 @@
             "figures_in_doubt": self.in_doubt,
             "front_cpu_us_per_request": round(self.front_cpu_us_per_request, 1),
             "usage": self.usage,
+            "services": self.services,
             "verdict": self.verdict.document(),
         }
 
@@ -138,10 +141,12 @@
         command: list[str] | None = None,
         keep: Path | None = None,
         strangers: bool = False,
+        real_lists: bool = False,
     ) -> None:
         self.day = day
         self._command = command or default_command()
         self._strangers = strangers  # whether endpoints serve what other callers send to the front
+        self._real_lists = real_lists  # the list service as processes, in place of the stand-in
         self._keep = keep  # where the sidecars' logs are kept afterwards
         self._chores: set[asyncio.Task[None]] = set()
         self._failed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -172,6 +177,9 @@
         except OSError as error:
             await self.close()
             raise _few_descriptors() if error.errno in OUR_LIMIT else error from None
+        except ServiceError as error:
+            await self.close()
+            raise DeploymentError(str(error), error.tail) from None
         except BaseException:
             await self.close()
             raise
@@ -189,11 +197,14 @@
         self._strange = day.rng("strangers")
         self.jobs = Jobs()
         self.network = Network(day)
-        self.registry = Registry(day)
         self.front = Front(day)
-        self.roster = Roster(
-            self.registry, self.clock, self.judge, lambda e, s: self.machines[e].doors[s].address
-        )
+        self.lists: Lists
+        if self._real_lists:
+            self.lists = Services(
+                day, self.folder, self.clock, self.judge, self._address_of, self._takes, self._fail
+            )
+        else:
+            self.lists = StandIn(Registry(day), self.clock, self.judge, self._address_of)
         groups = dedup_groups(day)
         for number, plan in enumerate(day.plans):
             endpoint = Endpoint(plan, day.rng(f"endpoint {plan.id}"))
@@ -238,11 +249,10 @@
     async def _start(self) -> None:
         for machine in self.machines.values():
             await machine.open()
-        for number, (name, station) in enumerate(self.stations.items()):
+        await self.lists.open()
+        for name, station in self.stations.items():
             station.folder.mkdir()
-            station.discovery = await self.roster.open(
-                station.post, f"127.8.{number // 200}.{1 + number % 200}"
-            )
+            await self.lists.reach(station)
             self.launch(name)
         self._chore(self._watch_memory())
         self._chore(self._forget())
@@ -260,7 +270,7 @@
             why = f"{', '.join(late[:5])}: not ready after {READY_S:g} s"
             raise DeploymentError(why, self._tail(late[0])) from None
         self.clock.begin()
-        self.roster.moved()
+        self.lists.begun()
         for post in self.day.tier_posts(0):
             self.front.answered(0, post.name, True)
             self._chore(self._ask_up(post))
@@ -268,8 +278,7 @@
     def launch(self, name: str) -> Process:
         station = self.stations[name]
         self._starts += 1
-        listing = self.registry.whole(station.post.tier)
-        known: dict[str, object] = self.roster.document(station.post, listing)
+        known, listing = self.lists.known(station.post)
         station.write_config(known, self.day.seed * 1_000_003 + self._starts)
         if not station.processes:
             self.judge.knows(self.clock.now_us(), name, listing)
@@ -296,6 +305,8 @@
             loop.default_exception_handler(context)
 
     def _fail(self, error: BaseException) -> None:
+        if isinstance(error, ServiceError):
+            error = DeploymentError(str(error), error.tail)
         if not self._failed.done():
             self._failed.set_exception(error)
 
@@ -375,6 +386,12 @@
                         )
                     )
 
+    def _address_of(self, endpoint: str, sidecar: str) -> str:
+        return self.machines[endpoint].doors[sidecar].address
+
+    def _takes(self, endpoint: str) -> bool:
+        return self.machines[endpoint].endpoint.state is State.UP
+
     def _call_next(self, plan: Plan, job: Job, on_end: Callable[[bool], None]) -> Callable[[], None]:
         """An endpoint's call to the next tier, through the sidecar beside it."""
         target = self.targets[self._sidecar_of[plan.id]]
@@ -422,8 +439,7 @@
         return job
 
     def _fell(self, plan: Plan) -> None:
-        self.registry.gone(self.clock.now_us(), plan.id)
-        self.roster.moved()
+        self.lists.gone(plan.id)
 
     # --- the day ---
 
@@ -496,6 +512,10 @@
             notes=self._notes,
             crash=str(error) if error else None,
             crash_log=error.tail if error else [],
+            services={
+                name: {"memory_mb": round(used.memory_mb, 1), "starts": used.starts}
+                for name, used in (self.lists.usage() if isinstance(self.lists, Services) else {}).items()
+            },
         )
 
     @staticmethod
@@ -516,6 +536,7 @@
         try:
             await asyncio.gather(*(process.ended.wait() for process in processes))
         finally:
+            await self.lists.close()
             self._close_sockets()
             if self._keep is not None:
                 self._save_logs(self._keep)
@@ -526,7 +547,6 @@
     def _close_sockets(self) -> None:
         for machine in self.machines.values():
             machine.close()
-        self.roster.close()
         for target in self.targets.values():
             target.pool.close()
         self._close_claims()
@@ -537,9 +557,12 @@
 
     def _save_logs(self, keep: Path) -> None:
         keep.mkdir(parents=True, exist_ok=True)
-        for name, station in self.stations.items():
-            if station.log.exists():
-                shutil.copy(station.log, keep / f"{name}.log")
+        logs = {name: station.log for name, station in self.stations.items()}
+        if isinstance(self.lists, Services):
+            logs |= self.lists.logs()
+        for name, log in logs.items():
+            if log.exists():
+                shutil.copy(log, keep / f"{name}.log")
 
     # --- for troubles ---
 
--- a/eiderhub/emulator/doors.py
+++ b/eiderhub/emulator/doors.py
@@ -68,7 +68,7 @@
         self._end_silence()
         if self._server is not None:
             for listener in self._server.sockets:
-                _unlisten(listener.fileno())
+                unlisten(listener.fileno())
             self._server.close()
             self._server = None
         if reset:
@@ -104,12 +104,12 @@
 
     def _end_silence(self) -> None:
         for each in self._silent:
-            _unlisten(each.fileno())
+            unlisten(each.fileno())
             each.close()
         self._silent.clear()
 
 
-def _unlisten(fileno: int) -> None:
+def unlisten(fileno: int) -> None:
     """Stop listening now, whoever else holds the socket.
 
     Danger: a process that we are just starting has all our descriptors until the system has closed them for
--- a/eiderhub/emulator/processes.py
+++ b/eiderhub/emulator/processes.py
@@ -17,7 +17,11 @@
 from typing import Any
 
 import msgspec
+import tomli_w
 
+from eiderhub.reading import by_people, convert
+from eiderhub.registry.settings import Follow
+from eiderhub.sidecar.config import Document
 from eiderhub.world.day import Post
 
 INHERITED = 4  # the descriptor of the clients' listening socket, where the platform holds it
@@ -176,18 +180,18 @@
     management: str = ""
     usage: Usage = field(default_factory=Usage)
     processes: list[Process] = field(default_factory=list)  # those that live, the newest last
-    starts: int = 0
+    follow: Follow | None = None  # lists come from the project's own service
 
     @property
     def config(self) -> Path:
-        return self.folder / "config.json"
+        return self.folder / ("config.json" if self.follow is None else "config.toml")
 
     @property
     def log(self) -> Path:
         return self.folder / "log"
 
     def write_config(self, known: dict[str, object], seed: int) -> None:
-        """The JSON that the platform hands to a sidecar."""
+        """The JSON that the platform hands to a sidecar; or TOML, which alone can name the list service."""
         document = {
             "name": self.post.name,
             "listen": f"{self.host}:{self.port}",
@@ -199,7 +203,11 @@
             "settings": self.settings,
         }
         beside = self.config.with_suffix(".new")
-        beside.write_bytes(msgspec.json.encode(document))
+        data = msgspec.json.encode(document)
+        if self.follow is not None:
+            found = msgspec.structs.replace(convert(document, Document), registry=self.follow)
+            data = tomli_w.dumps(by_people(found)).encode()
+        beside.write_bytes(data)
         beside.replace(self.config)
 
     def start(self, on_end: Callable[[Process, int], None]) -> Process:
@@ -209,8 +217,7 @@
             shutil.rmtree(temporary, ignore_errors=True)
             temporary.mkdir(parents=True)
         # Two processes of one sidecar live side by side in an upgrade, so they take turns.
-        held = self.claims[self.starts % len(self.claims)]
-        self.starts += 1
+        held = self.claims[self.usage.starts % len(self.claims)]
         self.management = f"{self.host}:{held.getsockname()[1]}"
         environ = environment() | {
             "GW_NAME": self.post.name,
--- a/eiderhub/emulator/troubles.py
+++ b/eiderhub/emulator/troubles.py
@@ -9,12 +9,11 @@
 
 from eiderhub.emulator import operators
 from eiderhub.emulator.clock import Clock
+from eiderhub.emulator.lists import Lists
 from eiderhub.emulator.machines import Machine
 from eiderhub.emulator.processes import Process, Station
-from eiderhub.emulator.roster import Roster
 from eiderhub.world.day import Day, Event
 from eiderhub.world.network import Network
-from eiderhub.world.registry import Registry
 from eiderhub.world.scenario import TroubleKind
 
 DRAIN_S = 3.0  # an endpoint that is replaced completes what it holds for so long
@@ -36,8 +35,7 @@
     day: Day
     clock: Clock
     network: Network
-    registry: Registry
-    roster: Roster
+    lists: Lists
     machines: dict[str, Machine]
     stations: dict[str, Station]
 
@@ -81,6 +79,11 @@
             TroubleKind.RELOAD: self._reload,
             TroubleKind.UPGRADE: self._upgrade,
             TroubleKind.STANDBY: self._standby,
+            TroubleKind.REGISTRY_KILLED: self._befall,
+            TroubleKind.REGISTRY_PAUSED: self._befall,
+            TroubleKind.REGISTRY_CUT: self._befall,
+            TroubleKind.REGISTRY_EMPTIED: self._befall,
+            TroubleKind.REGISTRY_STORM: self._befall,
         }
 
     async def play(self, event: Event) -> None:
@@ -139,8 +142,7 @@
         stage = self._stage
         machine = stage.machines[name]
         machine.endpoint.drain(stage.clock.now_us())
-        stage.registry.drains(stage.clock.now_us(), name)
-        stage.roster.moved()
+        stage.lists.drains(name)
         await asyncio.sleep(DRAIN_S)
         self._end(name, silent=False)
         await asyncio.sleep(AGAIN_S)
@@ -166,8 +168,7 @@
         sidecar = stage.beside(name)
         if sidecar is not None:
             stage.kill(sidecar)
-        stage.registry.gone(stage.clock.now_us(), name, silent)
-        stage.roster.moved()
+        stage.lists.gone(name, silent)
 
     async def _begin(self, name: str) -> None:
         """A new process under the same id; it takes requests once the sidecar beside it says yes."""
@@ -181,8 +182,7 @@
         machine = stage.machines[name]
         await machine.start()
         assert machine.endpoint.started_us is not None
-        stage.registry.came_up(stage.clock.now_us(), name, machine.endpoint.started_us)
-        stage.roster.moved()
+        stage.lists.came_up(name, machine.endpoint.started_us)
 
     # --- the network and discovery ---
 
@@ -198,15 +198,17 @@
 
     async def _discovery_down(self, event: Event) -> None:
         for down in (True, False):
-            self._stage.registry.set_down(self._stage.clock.now_us(), down)
-            self._stage.roster.moved()
+            self._stage.lists.set_down(down)
             if down:
                 await self._until(event.until_us)
 
     async def _discovery_stalls(self, event: Event) -> None:
-        self._stage.registry.stalling = True
+        self._stage.lists.stall(True)
         await self._until(event.until_us)
-        self._stage.registry.stalling = False
+        self._stage.lists.stall(False)
+
+    async def _befall(self, event: Event) -> None:
+        await self._stage.lists.befall(event, self._until)
 
     # --- sidecars ---
 
@@ -241,9 +243,8 @@
 
     async def _reload(self, event: Event) -> None:
         for station in self._stage.stations.values():
-            station.discovery = await self._stage.roster.move(station.post)
-            listing = self._stage.registry.whole(station.post.tier)
-            station.write_config(self._stage.roster.document(station.post, listing), event.at_us)
+            await self._stage.lists.move(station)
+            station.write_config(self._stage.lists.known(station.post)[0], event.at_us)
             for process in station.processes:
                 process.send(signal.SIGHUP)
 
--- a/eiderhub/reading.py
+++ b/eiderhub/reading.py
@@ -70,6 +70,16 @@
         raise DocumentError(source, [Fault("", _why(error))]) from None
 
 
+def by_people(value: Any) -> Any:
+    """A struct as plain data under its attributes' names; what is not told is left out."""
+    if isinstance(value, msgspec.Struct):
+        pairs = ((name, getattr(value, name)) for name in value.__struct_fields__)
+        return {name.rstrip("_"): by_people(item) for name, item in pairs if item is not None}
+    if isinstance(value, list | tuple):
+        return [by_people(item) for item in value]
+    return msgspec.to_builtins(value)
+
+
 def parse(path: Path) -> tuple[Any, bool]:
     """A file's document, and whether it is written for people: TOML, by its name.
 
--- a/eiderhub/registry/client.py
+++ b/eiderhub/registry/client.py
@@ -6,7 +6,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
@@ -153,12 +153,14 @@
         follow: Follow,
         deliver: Callable[[Verdict], None],
         rng: random.Random | None = None,
-        belief: Belief | None = None,
+        told: Any = None,
     ) -> None:
+        """`told`: a logger, in place of the process's."""
         self.follow = follow
         self._rng = rng or random.Random(secrets.randbits(64))
-        self.belief = belief or Belief(follow.much_smaller, int(follow.believe_s * 1e6))
+        self.belief = Belief(follow.much_smaller, int(follow.believe_s * 1e6))
         self._deliver = deliver
+        self._log = told or log
         self._lines = [Line(parse(address)) for address in follow.addresses]
         self._sources = Sources(len(self._lines))
         self._pace = Pace(self._rng, calls_per_s=follow.calls_per_s)
@@ -178,11 +180,11 @@
             return False
         found = kept.read(self.follow.keep, self.follow.keep_for_s, kept.Whose.of(self.follow))
         if isinstance(found, str):
-            log.warning("the kept list is not used", file=self.follow.keep, reason=found)
+            self._log.warning("the kept list is not used", file=self.follow.keep, reason=found)
             return False
         self.belief.begin(now_us(), found.identity, found.branch, found.version, found.entries)
         self._as_of_us = now_us() - int(found.age_s * 1e6)
-        log.info("starts with the kept list", age_s=round(found.age_s, 1), endpoints=len(found.entries))
+        self._log.info("starts with the kept list", age_s=round(found.age_s, 1), endpoints=len(found.entries))
         self._deliver(Verdict(True, True, found.entries))
         return True
 
@@ -229,12 +231,14 @@
         except (Unanswered, Refused) as error:
             if str(error) != self._failing:
                 self._failing = str(error)
-                log.warning("the list service does not answer", address=str(line.address), reason=str(error))
+                self._log.warning(
+                    "the list service does not answer", address=str(line.address), reason=str(error)
+                )
             self._sources.failed(now_us())
             least = error.retry_s if isinstance(error, Refused) else 0.0
             return least * self._rng.uniform(0, 1) + self._pace.failed() / 1e6
         if self._failing:
-            log.info("the list service answers", address=str(line.address))
+            self._log.info("the list service answers", address=str(line.address))
             self._failing = ""
         now = now_us()
         self._pace.answered(answer.callers)
@@ -246,7 +250,7 @@
         verdict = self.belief.consider(now, answer.claim)
         if verdict.why and verdict.why != self._odd:
             what = "a list was adopted" if verdict.adopted else "a list was not adopted; ours stays in use"
-            log.warning(what, address=answer.claim.source, reason=verdict.why)
+            self._log.warning(what, address=answer.claim.source, reason=verdict.why)
         self._odd = verdict.why
         if verdict.adopted:
             self._as_of_us = asked_us - answer.age_ms * 1000
@@ -274,7 +278,7 @@
                     kept.write, path, whose, belief.identity, belief.branch, belief.version, entries
                 )
             except OSError as error:
-                log.warning("the list was not kept", file=path, reason=error.strerror or str(error))
+                self._log.warning("the list was not kept", file=path, reason=error.strerror or str(error))
             finally:
                 self._writing = None
             if belief.version and list(belief.entries.values()) != entries:
@@ -327,18 +331,24 @@
     """Keeps one endpoint's record: put when it lives, renewed, and put again after an outage."""
 
     def __init__(
-        self, record: Record, addresses: Sequence[Address], alive: Callable[[], Any], every_s: float = 0.5
+        self,
+        record: Record,
+        addresses: Sequence[Address],
+        alive: Callable[[], Coroutine[Any, Any, bool]],
+        every_s: float = 0.5,
+        told: Any = None,
     ) -> None:
-        """`alive`: a coroutine function that says whether the endpoint takes requests."""
+        """`alive` says whether the endpoint takes requests. `told`: a logger, in place of the process's."""
         assert record.lease_ms is not None
         self.record = record
         self._writer = Writer(addresses)
         self._alive = alive
         self._every_s = every_s
+        self._log = told or log
         self._lease_s = record.lease_ms / 1000
         self._rng = random.Random(secrets.randbits(64))
         self._held = False
-        self._lived_us: int | None = None  # when the endpoint was last found alive
+        self._dead_us: int | None = None  # since when the endpoint has been found dead
         self._task: asyncio.Task[None] | None = None
         self.over = ""  # why it has ended for good
         self.put = asyncio.Event()  # set once the record has been put
@@ -377,7 +387,7 @@
         try:
             await self._writer.post(path, self.named, calls.Done)
         except (Unanswered, Refused) as error:
-            log.warning("not told to the list service", call=path, reason=str(error))
+            self._log.warning("not told to the list service", call=path, reason=str(error))
             return isinstance(error, Refused) and error.status not in (421, 503)
         return True
 
@@ -390,7 +400,7 @@
                     await asyncio.sleep(self._lease_s * RENEW_PART * self._rng.uniform(0.8, 1.0))
                     await self._renew()
             except Unanswered as error:
-                log.warning(
+                self._log.warning(
                     "the list service does not answer", id=self.record.entry.instance_id, reason=str(error)
                 )
                 await asyncio.sleep(min(self._writer.backoff_s(), self._lease_s * RENEW_PART))
@@ -405,16 +415,17 @@
         await self._writer.post(calls.PUT, call, calls.Done)
         self._held = True
         self.put.set()
-        log.info("registered", id=self.record.entry.instance_id, address=self.record.entry.host_port)
+        self._log.info("registered", id=self.record.entry.instance_id, address=self.record.entry.host_port)
         return 0.0
 
     async def _lives(self) -> bool:
         """Whether the endpoint lives; one that was away for a whole lease has started anew."""
         if not await self._alive():
+            self._dead_us = now_us() if self._dead_us is None else self._dead_us
             return False
-        now, before = now_us(), self._lived_us
-        self._lived_us = now
-        if before is not None and now - before > self._lease_s * 1e6:
+        # From the first time that it was found dead: that we did not look for long says nothing of it.
+        dead_us, self._dead_us = self._dead_us, None
+        if dead_us is not None and now_us() - dead_us > self._lease_s * 1e6:
             entry = msgspec.structs.replace(self.record.entry, started_at_ms=time.time_ns() // 1_000_000)
             self.record = msgspec.structs.replace(self.record, entry=entry)
             self._held = False
@@ -422,7 +433,7 @@
 
     async def _renew(self) -> None:
         if not await self._lives():
-            log.warning("the endpoint does not answer; its lease is not renewed", id=self.named.id)
+            self._log.warning("the endpoint does not answer; its lease is not renewed", id=self.named.id)
             return
         if not self._held:
             return
@@ -434,15 +445,15 @@
     async def _refused(self, error: Refused) -> None:
         if error.status == 404:  # the service has lost it, or its lease had run out
             self._held = False
-            log.warning("the list service does not have us; registering again", reason=str(error))
+            self._log.warning("the list service does not have us; registering again", reason=str(error))
         elif error.status in (409, 410) and self._held:
             self.over = str(error)
-            log.error("the record is not ours any more; registration ends", reason=str(error))
+            self._log.error("the record is not ours any more; registration ends", reason=str(error))
         elif error.status == 410 or error.status == 400:
             self.over = str(error)
-            log.error("the list service does not take the record; registration ends", reason=str(error))
+            self._log.error("the list service does not take the record; registration ends", reason=str(error))
         else:
-            log.warning(
+            self._log.warning(
                 "the list service does not take the record now", status=error.status, reason=str(error)
             )
             await asyncio.sleep(max(error.retry_s, self._writer.backoff_s(), 0.2))
--- a/eiderhub/registry/core.py
+++ b/eiderhub/registry/core.py
@@ -40,6 +40,8 @@
 MASS_PART = 0.2  # of a zone's leases, or of all: more silent ones than this are no accident of theirs
 MASS_LEAST = 3  # and at least so many
 PAUSE_US = 1 * S  # a longer time between two looks at the clock: we stood still, and nobody could renew
+BLIND_PART = 0.75  # more of all leases than this silent: it is we who are cut off, and nothing ends
+BLIND_US = 600 * S  # until somebody renews, or for so long
 FLAP_MOST = 6  # times that an id may be put anew
 FLAP_WINDOW_US = 60 * S  # within this
 HISTORY = 4096  # changes that are kept for those who follow them
@@ -122,8 +124,10 @@
         self._leases: dict[Key, _Lease] = {}
         self._flaps: dict[Key, _Flaps] = {}
         self._buried_us: deque[tuple[int, int]] = deque()  # when which version's tombstone was laid
-        self._looked_us: int | None = None
+        self._ticked_us: int | None = None
         self._opened_us = 0
+        self._blind_us: int | None = None  # since when we hear of too few
+        self.ready = 0  # records that are
         self._ahead = 0  # a version that somebody has, and that the store has lost
 
     # --- the past: from a store, or from the main service ---
@@ -135,6 +139,7 @@
         self.lineage = list(image.lineage)
         self.records = {record.key: record for record in image.records}
         self.tombstones = {stone.key: stone for stone in image.tombstones}
+        self.ready = sum(map(is_ready, image.records))
         self.groups = {}
         for key, record in self.records.items():
             self.groups.setdefault(key.group, {})[key] = record
@@ -338,13 +343,10 @@
         if lease is not None:
             lease.renewed_us, lease.held_until_us = now_us, 0
 
-    def look(self, now_us: int) -> tuple[list[Change], list[Told]]:
-        """Which leases end now. The changes are decided, not applied; call it at least twice a second."""
+    def tick(self, now_us: int) -> list[Told]:
+        """Notices when the service has stood still. Call it twice a second, whatever else goes on."""
         told: list[Told] = []
-        changes = self._catch_up(now_us)
-        if changes:
-            told.append(Told("the store was set back; going past what it has lost", {"to": self._decided}))
-        before, self._looked_us = self._looked_us, now_us
+        before, self._ticked_us = self._ticked_us, now_us
         if before is not None and now_us - before > PAUSE_US:
             stood = now_us - before
             for lease in self._leases.values():
@@ -356,6 +358,14 @@
                     "leases": len(self._leases),
                 }
                 told.append(Told("stood still: leases run on from here", fields))
+        return told
+
+    def look(self, now_us: int) -> tuple[list[Change], list[Told]]:
+        """Which leases end now. The changes are decided, not applied."""
+        told = self.tick(now_us)  # first: after a pause all leases look as if they had run out
+        changes = self._catch_up(now_us)
+        if changes:
+            told.append(Told("the store was set back; going past what it has lost", {"to": self._decided}))
         due = [
             key for key, lease in self._leases.items() if lease.due_us <= now_us and key not in self.pending
         ]
@@ -363,6 +373,8 @@
         if not due:
             return changes, told
         silent = self._silent(now_us)
+        if self._blind(now_us, silent, told):
+            return changes, told
         for key in due:
             zone = self.records[key].entry.zone
             lease = self._leases[key]
@@ -403,11 +415,31 @@
             if len(keys) >= MASS_LEAST and len(keys) > MASS_PART * counts[scope]
         }
 
+    def _blind(self, now_us: int, silent: dict[str | None, list[Key]], told: list[Told]) -> bool:
+        """Whether so many are silent that we must be cut off: then nothing ends."""
+        count = len(silent.get(None, ()))
+        if count <= BLIND_PART * len(self._leases):
+            if self._blind_us is not None:
+                told.append(Told("hears from others again", {"blind_ms": (now_us - self._blind_us) // 1000}))
+                # Whoever is still silent has one more lease's time to be heard.
+                self._hold(now_us, {None: [key for keys in silent.values() for key in keys]}, None)
+            self._blind_us = None
+            return False
+        if self._blind_us is None:
+            self._blind_us = now_us
+            fields: dict[str, str | int | float] = {
+                "silent": count,
+                "leases": len(self._leases),
+                "reason": f"more than {BLIND_PART:.0%} of all are silent: we are cut off",
+            }
+            told.append(Told("nothing expires", fields))
+        return now_us - self._blind_us < BLIND_US
+
     def _hold(self, now_us: int, silent: dict[str | None, list[Key]], scope: str | None) -> Told:
         """Give all that fell silent together one more lease's time: renewals may be on their way."""
         leases = [self._leases[key] for key in silent[scope]]
         fresh = [lease for lease in leases if not lease.held_until_us]
-        until = now_us + max(lease.length_us for lease in fresh)
+        until = now_us + max((lease.length_us for lease in fresh), default=0)
         for lease in fresh:
             lease.held_until_us = until
         fields: dict[str, str | int | float] = {
@@ -466,6 +498,7 @@
         key = record.key
         self._settled(key, record.version)
         self.tombstones.pop(key, None)
+        self._count(self.records.get(key), record)
         self.records[key] = record
         self.groups.setdefault(key.group, {})[key] = record
         if record.lease_ms is not None:
@@ -479,6 +512,7 @@
         known = self.records.pop(key, None)
         if known is None:
             return
+        self._count(known, None)
         del self.groups[key.group][key]
         self._leases.pop(key, None)
         entry = msgspec.structs.replace(known.entry, lifecycle=Readiness.GONE)
@@ -494,6 +528,20 @@
         )
         self._buried_us.append((now_us, change.version))
 
+    def _count(self, before: Record | None, after: Record | None) -> None:
+        self.ready += is_ready(after) - is_ready(before)
+
+    def ready_after(self, changes: Iterable[Change]) -> int:
+        """How many records would be ready once these were applied."""
+        became: dict[Key, Record | None] = {}
+        for change in changes:
+            if isinstance(change, Put):
+                became[change.record.key] = change.record
+            elif isinstance(change, Gone):
+                became[change.key] = None
+        moved = (is_ready(after) - is_ready(self.records.get(key)) for key, after in became.items())
+        return self.ready + sum(moved)
+
     def _settled(self, key: Key, version: int) -> None:
         if self.pending.get(key, version + 1) <= version:
             del self.pending[key]
@@ -551,5 +599,9 @@
     return one.entry if address is None else msgspec.structs.replace(one.entry, host_port=address)
 
 
+def is_ready(record: Record | None) -> bool:
+    return record is not None and record.entry.lifecycle is Readiness.READY
+
+
 def _no(status: int, why: str) -> Decision:
     return Decision(refusal=Refusal(status, why))
--- a/eiderhub/registry/following.py
+++ b/eiderhub/registry/following.py
@@ -9,11 +9,10 @@
 
 from eiderhub.address import parse
 from eiderhub.http1 import Unanswered
-from eiderhub.interface import Readiness
 from eiderhub.registry import calls
 from eiderhub.registry.belief import Pace, Sizes, Sources
 from eiderhub.registry.client import DOUBT_S, PATIENCE_S, Line, Refused, now_us, read
-from eiderhub.registry.core import Core
+from eiderhub.registry.core import Core, is_ready
 from eiderhub.registry.server import Service
 
 WAIT_MS = 1000  # a list is known to be no older than the last call that was answered, so calls are short
@@ -80,14 +79,17 @@
             first = feed.changes[0].version if feed.changes else core.version + 1
             if feed.identity != core.identity or first <= core.version:
                 return "changes to a list that we do not have"
+            ready = core.ready_after(feed.changes)
+            if not self._sizes.believed(now, ready, feed.identity, source):
+                return f"{ready} ready endpoints where {self._sizes.reference(now)} were in use"
             self._service.apply(feed.changes)
         else:
             if feed.identity == core.identity and feed.version < core.version:
                 return f"version {feed.version} is older than {core.version}, which is in use"
-            ready = sum(r.entry.lifecycle is Readiness.READY for r in feed.image.records)
+            ready = sum(map(is_ready, feed.image.records))
             if not self._sizes.believed(now, ready, feed.identity, source):
                 return f"{ready} ready endpoints where {self._sizes.reference(now)} were in use"
             core.restore(now, feed.image)
             self._service.replaced()
-        self._sizes.taken(now, sum(r.entry.lifecycle is Readiness.READY for r in core.records.values()))
+        self._sizes.taken(now, core.ready)
         return ""
--- a/eiderhub/registry/server.py
+++ b/eiderhub/registry/server.py
@@ -19,7 +19,7 @@
 from eiderhub.reading import DocumentError, convert
 from eiderhub.registry import calls
 from eiderhub.registry.config import Document, Serve
-from eiderhub.registry.core import Core, Decision, Refusal, listed
+from eiderhub.registry.core import Core, Decision, Refusal, Told, listed
 from eiderhub.registry.records import Change, Entry, Gone, Group, Image, Key, Put, Roll
 from eiderhub.registry.store import Contents, Store
 from eiderhub.registry.watches import Watches
@@ -289,8 +289,7 @@
         await asyncio.sleep(0)  # what comes in the same turn of the loop goes along
         now = now_us()
         changes, told = self.core.look(now)
-        for each in told:
-            log.info(each.event, **each.fields)
+        self._log(told)
         waiting, self._writes = self._writes, []
         made: list[tuple[Write, Decision]] = []
         for write in waiting:
@@ -312,6 +311,11 @@
             self._written(write, decision)
         await self._snapshot()
 
+    @staticmethod
+    def _log(told: list[Told]) -> None:
+        for each in told:
+            log.info(each.event, **each.fields)
+
     async def _append(self, changes: list[Change]) -> bool:
         assert self._store is not None
         payloads = [msgspec.json.encode(change) for change in changes]
@@ -376,6 +380,7 @@
         """Leases end whether or not anybody calls."""
         while True:
             await asyncio.sleep(LOOK_S)
+            self._log(self.core.tick(now_us()))
             self._flush_soon()
 
     # --- reads ---
--- a/eiderhub/sidecar/process.py
+++ b/eiderhub/sidecar/process.py
@@ -98,9 +98,7 @@
         log.info("discovery has moved", to=", ".join(address.addresses))
         host.watcher.move(address)
     else:
-        log.error(
-            "the configuration was not reloaded", reason="[registry] needs a restart"
-        )
+        log.error("the configuration was not reloaded", reason="[registry] needs a restart")
 
 
 def begin_registration(register: Register) -> Registration:
--- a/eiderhub/world/day.py
+++ b/eiderhub/world/day.py
@@ -125,10 +125,13 @@
     endpoints: tuple[str, ...]
     sidecars: tuple[str, ...]
     zone: str
+    how: str = ""
 
     @property
     def what(self) -> str:
         whom = ", ".join(self.endpoints or self.sidecars) or self.zone
+        if self.how:
+            return f"{self.kind.value} ({self.how})"
         return f"{self.kind.value}{f' of {whom}' if whom else ''}"
 
 
@@ -322,6 +325,7 @@
                 endpoints=tuple(endpoints),
                 sidecars=tuple(sidecars),
                 zone=zone,
+                how=trouble.how or "",
             )
         )
     return sorted(events, key=lambda event: event.at_us)
--- a/eiderhub/world/endpoint.py
+++ b/eiderhub/world/endpoint.py
@@ -205,10 +205,10 @@
 
     def cancel(self, now_us: int, token: Hashable) -> None:
         """Nobody waits for this request any more."""
+        self._settle(now_us)  # which may be its end
         work = self._work.get(token)
         if work is None:
             return
-        self._settle(now_us)
         if work in self._queue:
             self._queue.remove(work)
             del self._work[token]
--- a/eiderhub/world/scenario.py
+++ b/eiderhub/world/scenario.py
@@ -217,6 +217,12 @@
     RELOAD = "reload"  # discovery moves, and the sidecars are told by SIGHUP
     UPGRADE = "upgrade"  # a new process of a front sidecar takes over from the old one
     STANDBY = "standby"  # a front sidecar is emptied by its operator, and taken back
+    # The list service, where it is the real one; the stand-in is down for as long.
+    REGISTRY_KILLED = "registry-killed"  # its main process, which starts again on its store
+    REGISTRY_PAUSED = "registry-paused"  # it stands still
+    REGISTRY_CUT = "registry-cut"  # the wires to all of its processes, as `how` says
+    REGISTRY_EMPTIED = "registry-emptied"  # killed, and its store is lost
+    REGISTRY_STORM = "registry-storm"  # all of its processes are killed, and all callers come back at once
 
 
 OF_SIDECARS = {TroubleKind.RESTART, TroubleKind.KILL, TroubleKind.UPGRADE, TroubleKind.STANDBY}
@@ -235,6 +241,7 @@
     tier: Name | None = None  # whose endpoints; the first tier's where it is not told
     part: Share | None = None  # of those endpoints or of the front sidecars; at least one
     zone: Name | None = None
+    how: Annotated[str, Meta(pattern="^(cut|cut-up|cut-down|slow|reset|broken-off)$")] | None = None
 
 
 class Scenario(_Checked, kw_only=True, frozen=True):
@@ -275,6 +282,8 @@
                 raise ValueError(f"trouble[{i}].tier: no such tier; {nearest(trouble.tier, tiers)}")
             if trouble.zone is not None and trouble.zone not in self.zones:
                 raise ValueError(f"trouble[{i}].zone: no such zone; {nearest(trouble.zone, self.zones)}")
+            if trouble.how is not None and trouble.kind is not TroubleKind.REGISTRY_CUT:
+                raise ValueError(f"trouble[{i}].how: only registry-cut has one, not {trouble.kind.value}")
             if trouble.size is not None and trouble.kind not in SIZED:
                 sized = ", ".join(kind.value for kind in SIZED)
                 raise ValueError(f"trouble[{i}].size: only {sized} have one, not {trouble.kind.value}")
