--- a/tests/test_reading.py
+++ b/tests/test_reading.py
@@ -7,11 +7,13 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from eiderhub.reading import DocumentError, convert
+from eiderhub.registry.settings import Follow, Register
 from eiderhub.sidecar.config import Document, load, read_document
 from tests.sidecar_support import SETUP
 
@@ -93,6 +95,19 @@
     path.write_text(with_defaults, encoding="utf-8")
     assert options >= 3  # keys that the example only mentions: they stand there with their defaults
     assert read_document(str(path)) == read_document(str(EXAMPLE))
+    # Tables that are off by default stand there with their defaults, too.
+    with_tables, _ = re.subn(r"^#   ", "", text, flags=re.M)
+    path.write_text(with_tables, encoding="utf-8")
+    found = read_document(str(path))
+    assert found.registry is not None and found.register is not None
+    least = Register(id=found.register.id, address=found.register.address)
+    assert found.register == least
+    assert found.registry == Follow(addresses=found.registry.addresses, keep=found.registry.keep)
+    # In the platform's form they mean nothing.
+    path = path.with_suffix(".json")
+    path.write_bytes(msgspec.json.encode(found))
+    assert b'"registry"' in path.read_bytes() and read_document(str(path)).registry is None
+    path = path.with_suffix(".toml")
     path.write_text(text.replace("aim_us", "aim_su", 1), encoding="utf-8")
     with pytest.raises(DocumentError) as caught:
         read_document(str(path))
