--- a/eiderhub/emulator/wires.py
+++ b/eiderhub/emulator/wires.py
@@ -6,6 +6,7 @@
 import contextlib
 import enum
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import cast
 
@@ -80,6 +81,7 @@
         self.near = _End(self, up=True)
         self.far = _End(self, up=False)
         self._held: dict[bool, list[bytes | None]] = {True: [], False: []}  # None: the end of the sending
+        self._late: dict[bool, deque[tuple[float, bytes | None]]] = {True: deque(), False: deque()}
         self._connecting: asyncio.Task[None] | None = None
         self.over = False
 
@@ -108,14 +110,26 @@
     def _hold(self, end: _End, data: bytes | None) -> None:
         if self.over:
             return
-        if self.wire.how is How.SLOW:
-            asyncio.get_running_loop().call_later(SLOW_S, self._pass, end.up, data)
+        late = self._late[end.up]
+        if self.wire.how is How.SLOW or late:  # what comes after late pieces waits behind them
+            loop = asyncio.get_running_loop()
+            late.append((loop.time() + (SLOW_S if self.wire.how is How.SLOW else 0.0), data))
+            if len(late) == 1:
+                loop.call_at(late[0][0], self._arrive, end.up)
         elif self.wire.how is How.BROKEN and not end.up and data:
             self._write(self.near, data[: len(data) // 2])
             asyncio.get_running_loop().call_soon(self.abort)
         else:
             self._pass(end.up, data)
 
+    def _arrive(self, up: bool) -> None:
+        late = self._late[up]
+        loop = asyncio.get_running_loop()
+        while late and late[0][0] <= loop.time() + 0.001:
+            self._pass(up, late.popleft()[1])
+        if late and not self.over:
+            loop.call_at(late[0][0], self._arrive, up)
+
     def _pass(self, up: bool, data: bytes | None) -> None:
         held = self._held[up]
         held.append(data)
--- a/eiderhub/world/judge.py
+++ b/eiderhub/world/judge.py
@@ -111,6 +111,7 @@
     fallen: int
     breaches: dict[str, int]
     first_breaches: list[str]
+    timeline: list[tuple[float, float]]  # for each second: worth that arrived, and what of it was got
 
     @property
     def rules_kept(self) -> bool:
@@ -364,6 +365,7 @@
             declined=self._tally["declined"],
             fallen=self._tally["fallen"],
             breaches={rule.value: count for rule, count in self._counts.items()},
+            timeline=_timeline(done, day.length_us, goal.over_share_worth),
             first_breaches=[f"{b.at_us / 1e6:.2f} s: {b.rule.value}: {b.what}" for b in self._breaches[:20]],
         )
 
@@ -421,6 +423,16 @@
     return worst, worst_at
 
 
+def _timeline(errands: Iterable[Errand], length_us: int, over_share: float) -> list[tuple[float, float]]:
+    """Worth by the second in which its errand arrived."""
+    seconds = [(0.0, 0.0)] * -(-length_us // 1_000_000)
+    for errand in errands:
+        second = min(len(seconds) - 1, errand.at_us // 1_000_000)
+        wanted, got = seconds[second]
+        seconds[second] = (wanted + _worth(errand, over_share), got + _gained(errand, over_share))
+    return [(round(wanted, 3), round(got, 3)) for wanted, got in seconds]
+
+
 def _percentiles(errands: Sequence[Errand]) -> dict[str, float]:
     took = [(e.ended_us - e.at_us) / 1000 for e in errands if e.served and e.ended_us is not None]
     if not took:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -15,13 +15,15 @@
 
 import numpy as np
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from eiderhub.address import Address
 from eiderhub.emulator.deployment import Deployment, DeploymentError, Result
 from eiderhub.emulator.doors import Door
 from eiderhub.emulator.load import Load, Mix, Pattern, Shape, loopback, recorded, schedule
 from eiderhub.emulator.processes import environment
+from eiderhub.emulator.wires import How, Wire
 from eiderhub.interface import Effect
 from eiderhub.reading import DocumentError
 from eiderhub.world.clients import End
@@ -65,9 +67,9 @@
     return str(path)
 
 
-def play(path: str, command: list[str] | None = None) -> tuple[Result, Path]:
+def play(path: str, command: list[str] | None = None, real_lists: bool = False) -> tuple[Result, Path]:
     async def played() -> tuple[Result, Path]:
-        deployment = Deployment(draw(load_scenario(path), 2, "small"), command)
+        deployment = Deployment(draw(load_scenario(path), 2, "small"), command, real_lists=real_lists)
         async with deployment:
             await deployment.play()
             return deployment.result(), deployment.folder
@@ -98,6 +100,71 @@
     assert {used["starts"] for used in result.usage.values()} <= {1.0, 2.0}
 
 
+@pytest.mark.parametrize(
+    "troubles",
+    [
+        (
+            'kind = "registry-emptied"\nat_s = 0.5\nfor_s = 0.5',
+            'kind = "release"\nat_s = 0.3\nfor_s = 0.5\ntier = "far"',
+        ),
+        ('kind = "registry-storm"\nat_s = 0.5\nfor_s = 0.5', 'kind = "reload"\nat_s = 0.3'),
+        (
+            'kind = "registry-cut"\nhow = "cut-down"\nat_s = 0.5\nfor_s = 1',
+            'kind = "kill"\nat_s = 1\npart = 0.5',
+        ),
+    ],
+)
+def test_the_real_list_service_fails_and_the_day_goes_on(tmp_path: Path, troubles: tuple[str, ...]) -> None:
+    result, folder = play(scenario(tmp_path, *troubles), real_lists=True)
+    assert (result.verdict.breaches, result.crash) == ({}, None)
+    assert sum(row.asked for row in result.verdict.classes.values()) == result.requests > 30
+    assert result.verdict.whole > 0.5
+    starts = {name: used["starts"] for name, used in result.services.items()}
+    assert starts["registry-0"] == (1 if "cut" in troubles[0] else 2)
+    assert not folder.exists()
+
+
+@given(st.lists(st.binary(max_size=5000), max_size=6), st.lists(st.sampled_from(list(How)), max_size=4))
+@settings(max_examples=25)
+def test_what_a_wire_delivers_is_whole_and_in_order_and_a_mended_one_delivers_all(
+    pieces: list[bytes], hows: list[How]
+) -> None:
+    async def test() -> None:
+        got = bytearray()
+
+        class Sink(asyncio.Protocol):
+            def data_received(self, data: bytes) -> None:
+                got.extend(data)
+
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(Sink, "127.0.0.1", 0)
+        target = Address(*server.sockets[0].getsockname())
+        wire = Wire("127.0.0.1", lambda: target)
+        await wire.open()
+        _, writer = await asyncio.open_connection(*wire.address)
+        broken = False
+        sent = b""
+        for i, data in enumerate(pieces):
+            how = hows[i % len(hows)] if hows else How.OPEN
+            await wire.turn(how)
+            if how is How.RESET:
+                broken = True
+                break
+            writer.write(data)
+            sent += data
+            await asyncio.sleep(0)
+        await wire.turn(How.OPEN)
+        if not broken:
+            while len(got) < len(sent):
+                await asyncio.sleep(0.001)
+        assert sent.startswith(got) and (broken or got == sent)
+        writer.close()
+        server.close()
+        wire.close()
+
+    run(test())
+
+
 def test_a_port_that_is_ours_stays_ours_while_nobody_listens() -> None:
     async def test() -> None:
         door = Door("127.99.0.1", lambda exchange: None, lambda: 0)
