--- a/eiderhub/cli/registry.py
+++ b/eiderhub/cli/registry.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import click
 import msgspec
@@ -25,6 +25,11 @@
 from eiderhub.registry.client import Answer, Line, Refused, Watch, ask_list, read
 from eiderhub.registry.records import MOST_LEASE_MS, Entry, Record
 from eiderhub.registry.settings import Follow
+from eiderhub.sidecar.logs import configure
+
+if TYPE_CHECKING:
+    from eiderhub.registry.core import Core
+    from eiderhub.registry.store import Contents
 
 T = TypeVar("T")
 MOST_LEASE_S = MOST_LEASE_MS / 1000
@@ -72,7 +77,6 @@
     from eiderhub.registry.config import read as read_config
     from eiderhub.registry.process import serve as serve_all
     from eiderhub.registry.store import StoreError
-    from eiderhub.sidecar.logs import configure
 
     config = read_config(path)
     configure({"service": config.listen})
@@ -163,6 +167,8 @@
     """Print each change as it comes, through outages of the service, until Ctrl-C."""
     follow = _follow(address, service, tier, view)
 
+    configure({})  # what it says about outages goes to standard error
+
     async def watched() -> None:
         watching = Watch(follow, lambda verdict: _changed(list(verdict.entries), as_json))
         watching.start()
@@ -248,6 +254,7 @@
         finally:
             await registration.remove()
 
+    configure({})
     click.echo("held until Ctrl-C", err=True)
     with contextlib.suppress(KeyboardInterrupt):
         asyncio.run(held())
@@ -309,40 +316,37 @@
     """Look at a store; nothing is changed, and no process needs to run."""
 
 
-def _contents(folder: str) -> Any:
+def _opened(folder: str) -> tuple[Contents, Core]:
+    """What a store holds, and the state that it comes to.
+
+    Raises:
+        click.exceptions.Exit: with status 1, after a line that says what is wrong with it.
+    """
     from eiderhub.registry import store as stores
+    from eiderhub.registry.config import Document
+    from eiderhub.registry.server import new_core, recover
 
     try:
-        opened = stores.Folder(Path(folder), make=False, lock=False)
-        return stores.read(opened)
+        contents = stores.read(stores.Folder(Path(folder), make=False, lock=False))
+        core = new_core(Document(listen="127.0.0.1:0", store=folder))
+        recover(core, contents)
+        return contents, core
     except stores.StoreError as error:
         text = str(error)
-        raise _Damaged(text if text.startswith(folder) else f"{folder}/{text}") from None
+        why = text if text.startswith(folder) else f"{folder}/{text}"
+    except ValueError as error:
+        why = f"{folder}: {error}"
     except OSError as error:
-        raise _Damaged(f"{folder}: {error.strerror or error}") from None
-
-
-class _Damaged(click.ClickException):
-    """A store that can't be used."""
+        why = f"{folder}: {error.strerror or error}"
+    click.echo(f"ottercleat: {why}", err=True)
+    raise click.exceptions.Exit(1)
 
 
 @store.command()
 @click.argument("folder", metavar="DIR")
 def check(folder: str) -> int:
     """Read all of the store in DIR: every entry, checksum and number; exit status 1 for damage."""
-    from eiderhub.registry.config import Document
-    from eiderhub.registry.server import new_core, recover
-
-    try:
-        contents = _contents(folder)
-        core = new_core(Document(listen="127.0.0.1:0", store=folder))
-        recover(core, contents)
-    except _Damaged as error:
-        click.echo(f"ottercleat: {error.message}", err=True)
-        return 1
-    except ValueError as error:
-        click.echo(f"ottercleat: {folder}: {error}", err=True)
-        return 1
+    contents, core = _opened(folder)
     for note in contents.notes:
         click.echo(f"{folder}/{note} at the next start", err=True)
     entries = sum(len(log.frames) for log in contents.logs)
@@ -355,22 +359,10 @@
 @click.option("--log", "with_log", is_flag=True, help="The entries of the log, one JSON object a line.")
 def show(folder: str, with_log: bool) -> int:
     """Print what the store in DIR holds, as JSON."""
-    from eiderhub.registry.config import Document
-    from eiderhub.registry.server import new_core, recover
-
-    try:
-        contents = _contents(folder)
-        if with_log:
-            for frame in contents.frames:
-                click.echo(frame.payload.decode())
-            return 0
-        core = new_core(Document(listen="127.0.0.1:0", store=folder))
-        recover(core, contents)
-    except _Damaged as error:
-        click.echo(f"ottercleat: {error.message}", err=True)
-        return 1
-    except ValueError as error:
-        click.echo(f"ottercleat: {folder}: {error}", err=True)
-        return 1
-    click.echo(json.dumps(msgspec.to_builtins(core.image()), indent=2))
+    contents, core = _opened(folder)
+    if with_log:
+        for frame in contents.frames:
+            click.echo(frame.payload.decode())
+    else:
+        click.echo(json.dumps(msgspec.to_builtins(core.image()), indent=2))
     return 0
--- a/eiderhub/emulator/deployment.py
+++ b/eiderhub/emulator/deployment.py
@@ -16,6 +16,7 @@
 from eiderhub.emulator.clock import IN_DOUBT_MS, Clock
 from eiderhub.emulator.lists import Lists, StandIn
 from eiderhub.emulator.machines import Job, Jobs, Machine
+from eiderhub.emulator.processes import DeploymentError as DeploymentError
 from eiderhub.emulator.processes import (
     Process,
     Station,
@@ -24,7 +25,7 @@
     listening,
     new_folder,
 )
-from eiderhub.emulator.services import ServiceError, Services
+from eiderhub.emulator.services import Services
 from eiderhub.emulator.settings import settings_of
 from eiderhub.emulator.troubles import Troubles
 from eiderhub.http1 import OUR_LIMIT, Exchange, Pool, Unanswered, fetch
@@ -48,14 +49,6 @@
 UP = b"GET /up HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n"
 
 
-class DeploymentError(Exception):
-    """The run can't go on; `tail` holds the last lines of the log of the sidecar that it names."""
-
-    def __init__(self, why: str, tail: list[str]) -> None:
-        super().__init__(why)
-        self.tail = tail
-
-
 @dataclass(slots=True)
 class Result:
     """All that was measured. `crash`: what ended the run before its time."""
@@ -177,9 +170,6 @@
         except OSError as error:
             await self.close()
             raise _few_descriptors() if error.errno in OUR_LIMIT else error from None
-        except ServiceError as error:
-            await self.close()
-            raise DeploymentError(str(error), error.tail) from None
         except BaseException:
             await self.close()
             raise
@@ -305,8 +295,6 @@
             loop.default_exception_handler(context)
 
     def _fail(self, error: BaseException) -> None:
-        if isinstance(error, ServiceError):
-            error = DeploymentError(str(error), error.tail)
         if not self._failed.done():
             self._failed.set_exception(error)
 
--- a/eiderhub/emulator/processes.py
+++ b/eiderhub/emulator/processes.py
@@ -67,6 +67,14 @@
     return sock
 
 
+class DeploymentError(Exception):
+    """The run can't go on; `tail` holds the last lines of the log of the process that it names."""
+
+    def __init__(self, why: str, tail: list[str]) -> None:
+        super().__init__(why)
+        self.tail = tail
+
+
 @dataclass(slots=True)
 class Usage:
     """What processes of one sidecar have used."""
--- a/eiderhub/emulator/services.py
+++ b/eiderhub/emulator/services.py
@@ -22,7 +22,7 @@
 from eiderhub.address import Address
 from eiderhub.emulator.clock import Clock
 from eiderhub.emulator.lists import AddressOf, Until
-from eiderhub.emulator.processes import Process, Station, Usage, claim, environment
+from eiderhub.emulator.processes import DeploymentError, Process, Station, Usage, claim, environment
 from eiderhub.emulator.wires import How, Wire
 from eiderhub.http1 import Unanswered
 from eiderhub.interface import Readiness
@@ -47,14 +47,6 @@
 HOWS = {how.value: how for how in How}
 
 
-class ServiceError(Exception):
-    """The list service can't go on; `tail` holds its last lines."""
-
-    def __init__(self, why: str, tail: list[str]) -> None:
-        super().__init__(why)
-        self.tail = tail
-
-
 @dataclass(slots=True)
 class _Server:
     """One process's place, the same after a restart."""
@@ -205,7 +197,7 @@
         except TimeoutError:
             why = f"the list service does not list all endpoints after {READY_S:g} s"
             process = self._servers[0].process
-            raise ServiceError(why, process.tail() if process is not None else []) from None
+            raise DeploymentError(why, process.tail() if process is not None else []) from None
 
     async def _until_listed(self) -> None:
         for registration in self._registrations.values():
@@ -237,11 +229,11 @@
                     await asyncio.sleep(ASK_S)
         except TimeoutError:
             tail = server.process.tail() if server.process is not None else []
-            raise ServiceError(f"{server.name}: not ready after {READY_S:g} s", tail) from None
+            raise DeploymentError(f"{server.name}: not ready after {READY_S:g} s", tail) from None
 
     def _ended(self, process: Process, status: int) -> None:
         if not process.wanted and not self._closing:
-            self._fail(ServiceError(f"{process.name} ended with status {status}", process.tail()))
+            self._fail(DeploymentError(f"{process.name} ended with status {status}", process.tail()))
 
     async def close(self) -> None:
         self._closing = True
--- a/tests/registry_support.py
+++ b/tests/registry_support.py
@@ -11,7 +11,6 @@
 from typing import Any
 
 import tomli_w
-import uvloop
 
 from eiderhub.address import Address
 from eiderhub.emulator.processes import Process, Usage, claim, environment
@@ -22,17 +21,13 @@
 from eiderhub.registry.client import Line, Refused, Watch, read
 from eiderhub.registry.records import Entry, Record
 from eiderhub.registry.settings import Follow
+from tests import sidecar_support
 
 PATIENCE_S = 60.0  # a test that waits longer for an event has failed
 
 
 def run(test: Coroutine[Any, Any, None]) -> None:
-    async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE_S):
-            await test
-
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(bounded())
+    sidecar_support.run(test, PATIENCE_S)
 
 
 async def until(holds: Callable[[], bool]) -> None:
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -58,11 +58,11 @@
 }
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
+def run(test: Coroutine[Any, Any, None], patience_s: float = PATIENCE_S) -> None:
     """Run a test on the loop that the sidecar has in service."""
 
     async def bounded() -> None:
-        async with asyncio.timeout(PATIENCE_S):
+        async with asyncio.timeout(patience_s):
             await test
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
