--- a/eiderhub/address.py
+++ b/eiderhub/address.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated, NamedTuple
 
 from msgspec import Meta
@@ -33,6 +32,8 @@
     bare = host[1:-1] if bracketed else host
     try:
         if ":" in bare or bracketed:
+            import ipaddress  # few addresses are such, and each sidecar would hold it
+
             ipaddress.IPv6Address(bare)
         valid = bool(bare) and not any(c.isspace() or c in "[]" for c in bare)
     except ValueError:
--- a/eiderhub/cli/registry.py
+++ b/eiderhub/cli/registry.py
@@ -23,7 +23,8 @@
 from eiderhub.reading import DocumentError, convert
 from eiderhub.registry import calls
 from eiderhub.registry.client import Answer, Line, Refused, Watch, ask_list, read
-from eiderhub.registry.records import MOST_LEASE_MS, Entry, Record
+from eiderhub.registry.names import MOST_LEASE_MS
+from eiderhub.registry.records import Entry, Record
 from eiderhub.registry.settings import Follow
 from eiderhub.sidecar.logs import configure
 
--- a/eiderhub/registry/calls.py
+++ b/eiderhub/registry/calls.py
@@ -12,7 +12,8 @@
 
 from msgspec import Meta, Struct
 
-from eiderhub.registry.records import Change, Image, Name, NameOrNone, Record, Version
+from eiderhub.registry.names import Name, NameOrNone
+from eiderhub.registry.records import Change, Image, Record, Version
 
 PUT, DRAIN, REMOVE, RENEW = "/registry/put", "/registry/drain", "/registry/remove", "/registry/renew"
 LIST, FEED, STATUS = "/discovery/hosts", "/registry/feed", "/registry/status"
--- a/eiderhub/registry/config.py
+++ b/eiderhub/registry/config.py
@@ -9,7 +9,7 @@
 
 from eiderhub.address import AddressText
 from eiderhub.reading import convert, parse
-from eiderhub.registry.records import Name, NameOrNone
+from eiderhub.registry.names import Name, NameOrNone
 
 Count = Annotated[int, Meta(ge=1, le=10_000_000)]
 
--- a/eiderhub/registry/records.py
+++ b/eiderhub/registry/records.py
@@ -9,19 +9,8 @@
 
 from eiderhub.address import AddressText
 from eiderhub.interface import Readiness
+from eiderhub.registry.names import MOST_VIEWS, Lease, Name, NameOrNone
 
-MOST_NAME = 128  # characters of a name
-MOST_VIEWS = 64  # other addresses of a record
-MIN_LEASE_MS, MOST_LEASE_MS = 500, 600_000
-Name = Annotated[
-    str,
-    Meta(pattern=r"^[A-Za-z0-9_.:@/-]+$", max_length=MOST_NAME, description="a plain name"),
-]
-NameOrNone = Annotated[
-    str,
-    Meta(pattern=r"^[A-Za-z0-9_.:@/-]*$", max_length=MOST_NAME, description="a plain name"),
-]
-Lease = Annotated[int, Meta(ge=MIN_LEASE_MS, le=MOST_LEASE_MS)]
 Version = Annotated[int, Meta(ge=0)]
 
 
--- a/eiderhub/registry/settings.py
+++ b/eiderhub/registry/settings.py
@@ -7,7 +7,7 @@
 from msgspec import Meta, Struct
 
 from eiderhub.address import AddressText
-from eiderhub.registry.records import MOST_VIEWS, Lease, Name, NameOrNone
+from eiderhub.registry.names import MOST_VIEWS, Lease, Name, NameOrNone
 
 Addresses = Annotated[list[AddressText], Meta(min_length=1, max_length=32)]
 Seconds = Annotated[float, Meta(gt=0, le=1e7)]
