Take out what the list service's change left dead

Found in reading it again: a variable of the bench that was made and deleted, an event that nobody waited for, a class around one deque, two branches that did the same, a constant of one. Behaviour is as it was; the tests of the core, the store, the processes and the wires pass.

--- a/eiderhub/emulator/registry_bench.py
+++ b/eiderhub/emulator/registry_bench.py
@@ -81,7 +81,6 @@
         self._entries = entries
         self.figures = Figures()
         self._usage = Usage()
-        self._ended = asyncio.Event()
 
     async def run(self, tell: Tell) -> Figures:
         """All of it; ends its process and removes its files, whatever happens."""
@@ -207,7 +206,6 @@
         self._callers = [_Caller(self._address, self._follow) for _ in range(self._count)]
         await self._connect()
         acknowledged: list[tuple[int, float]] = []  # version, when
-        told: dict[int, tuple[int, float]] = {}  # by watcher: what it had by then; kept as a timeline
         history: list[list[tuple[float, int]]] = [[] for _ in self._callers]
         over = asyncio.Event()
 
@@ -216,7 +214,6 @@
                 await caller.once(WATCH_MS)
                 history[i].append((time.monotonic(), caller.version))
 
-        del told
         tasks = [asyncio.create_task(watch(i, caller)) for i, caller in enumerate(self._callers)]
         late: list[float] = []
         before = self._cpu_s()
--- a/eiderhub/emulator/wires.py
+++ b/eiderhub/emulator/wires.py
@@ -91,9 +91,7 @@
     def joined(self, end: _End) -> None:
         if end is self.near:
             self.wire.links.add(self)
-            self.flow()
-        else:
-            self.flow()
+        self.flow()
 
     def came(self, end: _End, data: bytes) -> None:
         self.wire.seen(self, end.up, data)
--- a/eiderhub/registry/core.py
+++ b/eiderhub/registry/core.py
@@ -14,7 +14,7 @@
 import random
 from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -98,11 +98,6 @@
     fields: dict[str, str | int | float]
 
 
-@dataclass(slots=True)
-class _Flaps:
-    times: deque[int] = field(default_factory=deque)
-
-
 class Core:
     """One service's state. `entropy` names new branches and a new identity."""
 
@@ -122,7 +117,7 @@
         self._newest: dict[Group, int] = {}
         self._from = 0  # the history has all changes after this version
         self._leases: dict[Key, _Lease] = {}
-        self._flaps: dict[Key, _Flaps] = {}
+        self._flaps: dict[Key, deque[int]] = {}  # when each id came, of late
         self._buried_us: deque[tuple[int, int]] = deque()  # when which version's tombstone was laid
         self._ticked_us: int | None = None
         self._opened_us = 0
@@ -319,7 +314,7 @@
 
     def _flapping(self, now_us: int, key: Key) -> Refusal | None:
         """Bounds what a record that comes and goes costs all who follow the list."""
-        flaps = self._flaps.setdefault(key, _Flaps()).times
+        flaps = self._flaps.setdefault(key, deque())
         while flaps and flaps[0] <= now_us - FLAP_WINDOW_US:
             flaps.popleft()
         if len(flaps) >= FLAP_MOST:
--- a/eiderhub/registry/store.py
+++ b/eiderhub/registry/store.py
@@ -34,7 +34,6 @@
 MOST_PAYLOAD = 256 << 20
 LOG, SNAPSHOT, PART, LOCK = "log-", "snapshot-", ".part", "lock"
 ROLL_BYTES = 16 << 20  # a log longer than this is worth a snapshot
-KEPT_SNAPSHOTS = 1
 
 
 class StoreError(Exception):
@@ -373,6 +372,6 @@
         self._disk.sync_names()
 
     def _covered(self) -> Iterator[str]:
-        for name in (*_named(self._disk, SNAPSHOT)[:-KEPT_SNAPSHOTS], *_named(self._disk, LOG)):
+        for name in (*_named(self._disk, SNAPSHOT)[:-1], *_named(self._disk, LOG)):
             if name != self._name:
                 yield name
