End a caller's connection by halves, so that no close resets what is on its way

Cause: caller._finish closed at once wherever neither a body nor a later request was coming in, and server.close_idle, make_way and look_after closed without a look at the kernel. A close over unread input resets the connection: the answer that a slow caller is still reading goes with it, and a request that has just arrived gets a reset in place of an answer. Ruled out: the write buffer (uvloop flushes it before a close) and TCP_NODELAY (uvloop sets it).

Change: one explicit stage for each connection in place of the flags ended and discarding. shut() is the one way to an end: our side ends after the last byte, what comes is read into nothing until the caller ends its side, for a second and not while it still reads. close_idle and making room pass over connections with anything unread in the kernel. Not taken: a linger on the socket, which blocks the loop at the close.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -284,6 +284,7 @@
 
 class ConcurrencyLimit:
     """The in-flight cap of one pool, learned from latencies as shares of their class's aim."""
+
     # It follows medians: a cap that falls for single long calls starves the sound endpoints.
 
     def __init__(self, layer: int) -> None:
@@ -355,6 +356,7 @@
 
 class IdleConnections:
     """Which connections have been idle too long to be trusted, learned from attempts that got no answer."""
+
     # Danger: something on the way drops idle connections unseen, at any endpoint, so that none looks ill.
 
     def __init__(self, closed_us: int) -> None:
@@ -551,6 +553,7 @@
 
 class Placement:
     """The endpoints that the classes of one constraint may use: a pool for each ring, the nearest first."""
+
     # Subsets are drawn from the allowed endpoints alone: filtering one drawn from all could leave none.
 
     def __init__(self, grade: RequestClass, layer: int) -> None:
--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import select
 import socket
 import struct
+import termios
+from enum import Enum
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
@@ -31,12 +35,25 @@
 READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
 BODY_S = 1.5  # after a head that took long, for the body to begin
 BODY_RATE = 48_000  # bytes a second that a body has to keep up: slow clients send 64 kB, with pauses
-LINGER_S = 1.0  # how long input is still read after an answer that the caller may not be waiting for yet
+LINGER_S = 1.0  # how long input is still read after our end, for the caller to see it and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
 log = structlog.get_logger()
 
 
+class Stage(Enum):
+    """How far a connection has come; it only ever goes on to a later stage."""
+
+    OPEN = 1  # requests are read
+    LAST = 2  # nothing more is read; what was taken is still answered
+    DISCARDING = 3  # the rest of a body is read for the caller's sake alone
+    SHUT = 4  # our side has ended: what comes is thrown away until the caller closes, too
+    LOST = 5
+
+
+READING = (Stage.OPEN, Stage.DISCARDING)
+
+
 class Rejected(Exception):
     """Bad input: neither the module nor an endpoint hears of it."""
 
@@ -105,8 +122,7 @@
         self.keep = True
         self.receiving = False
         self.due_us = 0  # by when the first request, or the one that comes in, must have moved on; 0: none
-        self.ended = False  # nothing that still comes is read
-        self.discarding = False  # the rest of the body that comes in is read for the caller's sake alone
+        self.stage = Stage.OPEN
         self.congested = False  # whether the caller does not take what we write
         self.blocked_since_us = 0
         self.fault: Rejected | None = None
@@ -116,6 +132,7 @@
         self._source: Source | None = None  # where an answer comes from that is passed on
         self._chunked = False  # how that answer is framed
         self._paused = False
+        self._linger: asyncio.TimerHandle | None = None
         self._first = True  # no answer has been given yet
         self.parser = httptools.HttpRequestParser(self)
 
@@ -133,24 +150,24 @@
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.ended:
+        if self.stage not in READING:
             return
         try:
             self.parser.feed_data(memoryview(self._buffer)[:nbytes])
         except httptools.HttpParserUpgrade:
-            self.ended = True  # the request itself was taken, and its answer closes the connection
+            self.stage = Stage.LAST  # the request itself was taken, and its answer closes the connection
         except httptools.HttpParserError:
             self.stop(self.fault or Rejected(400, "malformed HTTP"))
 
     def stop(self, fault: Rejected) -> None:
         """Read nothing more; the answer comes in its turn, and the connection closes after it."""
-        if self.ended:
+        if self.stage is Stage.DISCARDING:
+            self.shut()
+        if self.stage is not Stage.OPEN:
             return
-        self.ended = True
+        self.stage = Stage.LAST
         incoming, self._incoming = self._incoming, None
-        if self.discarding:
-            self.transport.close()
-        elif incoming is None or incoming.upload is None:
+        if incoming is None or incoming.upload is None:
             self._accept(Incoming(fault))
         elif self.current is not None and self.current.upload is incoming.upload:
             self.server.count(f"{fault.status} {fault}, amid a body")
@@ -162,7 +179,10 @@
         return False  # a caller that closes has gone away, whatever it still could read
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = True
+        self.stage = Stage.LOST
+        if self._linger is not None:
+            self._linger.cancel()
+            self._linger = None
         del self.parser  # it calls back into this object: a cycle, and those would pile up
         self.waiting.clear()
         self._incoming = self._source = self._served = None
@@ -285,7 +305,7 @@
         if self._body_size > MOST_BODY:
             self._fault(Rejected(413, "the body is too long"))
         incoming = self._incoming
-        if incoming is None or self.discarding:
+        if incoming is None or self.stage is Stage.DISCARDING:
             return
         if incoming.upload is not None:
             incoming.upload.feed(body)
@@ -303,9 +323,8 @@
         self.receiving = False
         self.due_us = 0
         incoming, self._incoming = self._incoming, None
-        if self.discarding or incoming is None:
-            self.ended = True
-            self.transport.close()
+        if self.stage is Stage.DISCARDING or incoming is None:
+            self.shut()
             return
         incoming.keep = incoming.keep and not self.parser.should_upgrade()
         if incoming.upload is None:
@@ -323,19 +342,27 @@
 
     @property
     def busy(self) -> bool:
-        return self.current is not None or self.receiving or bool(self.waiting)
+        """Whether a request is on this connection, or has begun to come."""
+        return self.current is not None or bool(self.waiting) or (self.receiving and self.stage in READING)
 
     @property
     def unheard(self) -> bool:
         """Whether nothing has come whole on this connection yet."""
         return self._first and self.receiving and self.current is None and not self.waiting
 
-    def make_way(self) -> None:
-        self.ended = True
-        if self.transport.get_write_buffer_size():
-            self.transport.abort()
-        else:
-            self.transport.close()
+    def resting(self) -> bool:
+        """Whether closing costs nothing: no request, none unread in the kernel, and no answer still here.
+
+        The loop may not have come to what has arrived. A close over it would reset the connection.
+        """
+        if self.busy or self.transport.get_write_buffer_size():
+            return False
+        return self.stage is Stage.SHUT or not self._kernel_has(select.POLLIN)
+
+    def _kernel_has(self, event: int) -> bool:
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), event)
+        return bool(poll.poll(0))
 
     def _accept(self, incoming: Incoming) -> None:
         if self.current is not None or self.waiting or self.congested:
@@ -426,7 +453,7 @@
         self.server.host.figures.ended(current.grade, 502)
         self.server.count("answer broken off")
         self._source = None
-        self.ended = True
+        self.stage = Stage.LOST
         sock: Any = self.transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.transport.abort()
@@ -444,10 +471,11 @@
             asyncio.get_running_loop().call_soon(self._resume)
 
     def _resume(self) -> None:
-        if self.waiting and self.current is None and not self.congested:
-            incoming = self.waiting.pop(0)
-            self.flow()
-            self._serve(incoming)
+        if not self.waiting or self.current is not None or self.congested:
+            return
+        incoming = self.waiting.pop(0)
+        self.flow()
+        self._serve(incoming)
 
     def _unread(self) -> bool:
         """Whether the body of the request that is answered is still coming in."""
@@ -456,33 +484,66 @@
     def _finish(self) -> None:
         """Close, but not before the caller has had time to read why.
 
-        A socket that is closed with unread input is reset, and the answer on its way would be lost. A caller
-        in the midst of a body may look for an answer only after it: what comes is read and thrown away.
+        A caller in the midst of a body may look for an answer only after it: what comes is read and
+        thrown away.
         """
-        self.waiting.clear()
         if self._served is not None and self._unread():
             self._served.give_up()
-        if not self.ended and self._unread():
-            self.discarding = True
+        if self.stage is Stage.OPEN and self._unread():
+            self.stage = Stage.DISCARDING
+            self.waiting.clear()
             self.flow()
-        elif (self.ended or self.receiving) and self.transport.can_write_eof():
-            self.ended = True
+        else:
+            self.shut()
+
+    def shut(self) -> None:
+        """End our side once all is written, and read on, into nothing, until the caller ends its own.
+
+        Danger: a socket that is closed over unread input resets the connection, and an answer that is still
+        on its way goes with it. What the caller sends from here on it sends again elsewhere: it gets our end
+        and no answer. It is never served.
+        """
+        if self.stage in (Stage.SHUT, Stage.LOST):
+            return
+        self.stage = Stage.SHUT
+        self.due_us = 0
+        self.waiting.clear()
+        self._incoming = None
+        self.flow()
+        if not self.transport.is_closing():
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(LINGER_S, self.transport.close)
+            self._linger_on(now_us() + int(STALL_S * 1e6))
+
+    def _linger_on(self, latest_us: int) -> None:
+        self._linger = asyncio.get_running_loop().call_later(LINGER_S, self._close, latest_us)
+
+    def _close(self, latest_us: int) -> None:
+        """The caller keeps its side open: end all the same, though not while it still reads."""
+        if self._unsent() and now_us() < latest_us:
+            self._linger_on(latest_us)
         else:
-            self.ended = True
-            self.blocked_since_us = now_us()  # the last bytes may not leave for as long as they like, either
-            self.transport.close()
+            self.transport.abort()
+
+    def _unsent(self) -> bool:
+        """Whether some of what was written has not reached the caller's machine."""
+        if self.transport.get_write_buffer_size():
+            return True
+        unacknowledged = bytearray(4)
+        try:
+            fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, unacknowledged)
+        except OSError:
+            return False  # it can't be told here
+        return any(unacknowledged)
 
     def look_after(self, now: int) -> None:
         """Guards the descriptors against callers that never begin, or never finish, what they do."""
         if self.blocked_since_us and now - self.blocked_since_us > STALL_S * 1e6:
             self.server.count("does not read its answer")
             self.transport.abort()
-        elif self.due_us and not self.ended and now >= self.due_us:
-            if self.receiving and not self.discarding:  # the answer closes the connection
+        elif self.due_us and self.stage in READING and now >= self.due_us:
+            if self.receiving and self.stage is Stage.OPEN:  # the answer closes the connection
                 self.stop(Rejected(408, "the request did not come whole"))
             else:
-                self.server.count("body stalled after its answer" if self.discarding else "no request came")
-                self.ended = True
-                self.transport.close()
+                discarding = self.stage is Stage.DISCARDING
+                self.server.count("body stalled after its answer" if discarding else "no request came")
+                self.shut()
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -68,14 +68,14 @@
         newcomer would close the same one again, and be refused for it.
         """
         before = now_us() - int(UNHEARD_S * 1e6)
-        other = next((c for c in self.callers if not c.busy and c is not newest), None)
+        other = next((c for c in self.callers if c.resting() and c is not newest), None)
         other = other or next((c for c in self.callers if c.unheard and c.quiet_since_us < before), None)
         if other is None and len(self.callers) > self.most + EXCESS:
             other = newest  # callers must not take the descriptors of all else
         if other is not None:
             del self.callers[other]
             self.count("closed to make room")
-            other.make_way()
+            other.transport.abort()  # nothing is owed there, and its descriptor is needed now
 
     def left(self, caller: CallerConnection) -> None:
         self.callers.pop(caller, None)
@@ -106,8 +106,8 @@
     def close_idle(self, quiet_s: float) -> None:
         before = now_us() - int(quiet_s * 1e6)
         for caller in list(self.callers):
-            if not caller.busy and caller.quiet_since_us <= before:
-                caller.transport.close()
+            if caller.quiet_since_us <= before and caller.resting():
+                caller.shut()
 
     def stop_listening(self) -> None:
         self.listener.close()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,209 @@
+"""Two events that cross, on real sockets: the test holds one of them until the other is in the kernel.
+
+What a test writes with a plain `sendall` stands in the kernel before the loop turns again, so the sidecar
+acts on what it has not read yet. The table of all crossings: docs/crossings.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from eiderhub.sidecar import caller as calling
+from eiderhub.sidecar.caller import CallerConnection
+from tests.sidecar_support import Sidecar, run
+
+RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
+
+
+def request(
+    number: int, grade: str = "pay", body: bytes = b"x", *headers: str, deadline_ms: int = 60_000
+) -> bytes:
+    lines = [f"{'GET' if grade == 'look' else 'POST'} /{grade}/a HTTP/1.1", "Host: a", f"Req-Id: raw{number}"]
+    lines += ["Req-Owner: acme", f"Req-Deadline-Ms: {deadline_ms}", *headers]
+    if grade == "hold":
+        lines.append("Idempotency-Key: k1")
+    if grade != "look":
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + (body if grade != "look" else b"")
+
+
+class Raw:
+    """A peer whose every byte the test sends and reads."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.sock.setblocking(False)
+
+    @classmethod
+    def of(cls, sidecar: Sidecar, receive_bytes: int = 0) -> Raw:
+        sock = socket.socket()
+        if receive_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        sock.connect(("127.0.0.1", sidecar.port))
+        return cls(sock)
+
+    def send(self, data: bytes) -> None:
+        """Into the kernel at once: the loop does not turn in between."""
+        assert self.sock.send(data) == len(data)
+
+    async def read(self, most: int = 1 << 16) -> bytes:
+        return await asyncio.get_running_loop().sock_recv(self.sock, most)
+
+    async def rest(self) -> bytes:
+        """All that comes up to the other side's end; a reset raises."""
+        data = b""
+        while more := await self.read():
+            data += more
+        return data
+
+    async def answer(self) -> bytes:
+        """One answer with a stated length: its head and body."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += await self._some()
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        while len(body) < length:
+            body += await self._some()
+        return head + b"\r\n\r\n" + body
+
+    async def _some(self) -> bytes:
+        data = await self.read()
+        if not data:
+            raise EOFError
+        return data
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+        self.sock.close()
+
+
+async def connected(sidecar: Sidecar, count: int = 1) -> list[CallerConnection]:
+    """The sidecar's side of the connections, once it has taken so many."""
+    while len(sidecar.server.callers) < count:
+        await asyncio.sleep(0)
+    return list(sidecar.server.callers)
+
+
+async def until(condition: Any) -> None:
+    while not condition():
+        await asyncio.sleep(0.001)
+
+
+# --- a close and what the caller sends ---
+
+
+def test_last_answer_reaches_a_slow_caller_though_more_of_its_input_is_unread() -> None:
+    """A close over unread input resets the connection, and what the caller has not got yet goes with it."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar, receive_bytes=4096)
+            (caller,) = await connected(sidecar)
+            client.send(request(1, "pay", b"x", "Connection: close"))
+            asked = await sidecar.endpoints[0].next()
+            caller.transport.pause_reading()  # what comes from here on stays in the kernel
+            client.send(request(2))
+            asked.reply(200, b"a" * 60_000)
+            await until(lambda: caller.current is None)
+            caller.transport.resume_reading()
+            answer = await client.rest()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert answer.endswith(b"\r\n\r\n" + b"a" * 60_000)
+            assert sidecar.host.serial == 1  # what came behind the last request is served by nobody
+
+    run(test())
+
+
+def test_request_in_the_kernel_as_its_idle_connection_is_to_close_is_answered() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            await connected(sidecar)
+            sidecar.server.closing = True
+            client.send(request(1))
+            sidecar.server.close_idle(0.0)  # the loop has not come to the request
+            (await sidecar.endpoints[0].next()).reply()
+            answer = await client.rest()
+            assert answer.startswith(b"HTTP/1.1 200 ")
+            assert b"\r\nConnection: close\r\n" in answer
+
+    run(test())
+
+
+@pytest.mark.parametrize("closes", ["idle", "no request came"])
+def test_request_that_crosses_the_close_gets_an_end_and_is_not_sent_on(closes: str) -> None:
+    """The caller's rule is to send it again elsewhere: had it run here too, it would run twice."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            if closes == "idle":
+                sidecar.server.close_idle(0.0)
+            else:
+                caller.look_after(caller.due_us)
+            client.send(request(1))
+            assert await client.rest() == b""  # an end, and no reset
+            assert sidecar.host.serial == 0
+            client.sock.close()
+            await until(lambda: not sidecar.server.callers)
+            assert sidecar.endpoints[0].connections == 0
+
+    run(test())
+
+
+def test_caller_that_does_not_end_its_side_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(calling, "LINGER_S", 0.05)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            await connected(sidecar)
+            sidecar.server.close_idle(0.0)
+            assert await client.rest() == b""
+            await until(lambda: not sidecar.server.callers)
+
+    run(test())
+
+
+def test_caller_that_still_reads_its_last_answer_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(calling, "LINGER_S", 0.02)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar, receive_bytes=4096)
+            (caller,) = await connected(sidecar)
+            client.send(request(1, "pay", b"x", "Connection: close"))
+            (await sidecar.endpoints[0].next()).reply(200, b"a" * 60_000)
+            await until(lambda: not sidecar.host.requests)
+            for _ in range(5):  # while it reads nothing it keeps sending, and its time runs
+                client.send(b"more")
+                await asyncio.sleep(0.02)
+            assert (await client.rest()).endswith(b"a" * 60_000)
+
+    run(test())
+
+
+def test_room_is_made_of_connections_that_have_no_request_in_the_kernel() -> None:
+    async def test() -> None:
+        async with Sidecar(callers=2) as sidecar:
+            asks, rests = Raw.of(sidecar), Raw.of(sidecar)
+            first, second = await connected(sidecar, 2)
+            if first.transport.get_extra_info("peername") != asks.sock.getsockname():
+                asks, rests = rests, asks  # `asks` is the first that would go
+            asks.send(request(1))
+            newest = CallerConnection(sidecar.server)  # as it arrives, the loop has not come to the request
+            sidecar.server.callers[newest] = None
+            sidecar.server._make_room(newest)
+            del sidecar.server.callers[newest]
+            assert first in sidecar.server.callers and second not in sidecar.server.callers
+            (await sidecar.endpoints[0].next()).reply()
+            assert (await asks.answer()).startswith(b"HTTP/1.1 200 ")
+            assert await rests.rest() == b""
+
+    run(test())
