Notice callers that leave while nothing is read from them, before their request is sent

Cause: caller.flow stops reading while a pipelined request waits or a body is held back, and the loop tells of no end on a connection that is not read. Each further request of a caller that had gone was taken in its turn and sent on, and one in the module's queue went out whenever it was its turn. Ruled out: host.gone and the connection that comes up, which look at request.answered just before the write.

Change: the caller's connection asks the kernel (POLLRDHUP) where it is paused: when the next request's turn comes, when an attempt is begun and when it is written, and with the look at all callers. Nothing is asked on connections that are read, so an ordinary request costs nothing more. Not taken: reading on into a buffer, which floods would fill.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -359,6 +359,13 @@
             return False
         return self.stage is Stage.SHUT or not self._kernel_has(select.POLLIN)
 
+    def left_unread(self) -> bool:
+        """Whether the caller has closed while we read nothing, so that the loop told of no end; ends it."""
+        if not self._paused or not self._kernel_has(select.POLLRDHUP):
+            return False
+        self.transport.abort()
+        return True
+
     def _kernel_has(self, event: int) -> bool:
         poll = select.poll()
         poll.register(self.transport.get_extra_info("socket").fileno(), event)
@@ -473,6 +480,8 @@
     def _resume(self) -> None:
         if not self.waiting or self.current is not None or self.congested:
             return
+        if self.left_unread():
+            return
         incoming = self.waiting.pop(0)
         self.flow()
         self._serve(incoming)
@@ -540,7 +549,7 @@
         if self.blocked_since_us and now - self.blocked_since_us > STALL_S * 1e6:
             self.server.count("does not read its answer")
             self.transport.abort()
-        elif self.due_us and self.stage in READING and now >= self.due_us:
+        elif not self.left_unread() and self.due_us and self.stage in READING and now >= self.due_us:
             if self.receiving and self.stage is Stage.OPEN:  # the answer closes the connection
                 self.stop(Rejected(408, "the request did not come whole"))
             else:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -41,6 +41,9 @@
 
     def break_off(self) -> None: ...
 
+    def left_unread(self) -> bool:
+        """Whether the caller has closed while nothing was read from it, so that the loop told of no end."""
+
 
 class Request:
     """One request that was taken, and its attempts."""
@@ -247,7 +250,7 @@
         """The bytes of an attempt that is written now; none once the request is over."""
         # While the body comes the time does not run yet: the endpoint is told all of it.
         left_ms = ((attempt.until_us - now) if attempt.until_us else request.patience_us) // 1000
-        if request.answered or left_ms < 1:
+        if request.answered or left_ms < 1 or request.caller.left_unread():
             return None
         return b"%sReq-Deadline-Ms: %d\r\n\r\n%s" % (request.head, left_ms, request.body)
 
@@ -314,7 +317,8 @@
         request.attempts.append(attempt)
         request.out += 1
         spent = request.upload is not None and (request.upload.begun or request.upload.given_up)
-        if request.answered or spent or attempt.number >= self.settings.limits.max_attempts:
+        spent = spent or attempt.number >= self.settings.limits.max_attempts
+        if request.answered or spent or request.caller.left_unread():
             asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
             return
         if request.whole:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,9 +12,11 @@
 
 import pytest
 
+from eiderhub.interface import ListForm
 from eiderhub.sidecar import caller as calling
 from eiderhub.sidecar.caller import CallerConnection
-from tests.sidecar_support import Sidecar, run
+from eiderhub.sidecar.discovery import read_listing
+from tests.sidecar_support import Sidecar, listing, row, run
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
 
@@ -177,7 +179,7 @@
     async def test() -> None:
         async with Sidecar() as sidecar:
             client = Raw.of(sidecar, receive_bytes=4096)
-            (caller,) = await connected(sidecar)
+            await connected(sidecar)
             client.send(request(1, "pay", b"x", "Connection: close"))
             (await sidecar.endpoints[0].next()).reply(200, b"a" * 60_000)
             await until(lambda: not sidecar.host.requests)
@@ -207,3 +209,90 @@
             assert await rests.rest() == b""
 
     run(test())
+
+
+# --- a caller that leaves while its request waits ---
+
+
+@pytest.mark.parametrize("end", ["closes", "resets", "ends its side"])
+def test_pipelined_requests_of_a_caller_that_left_are_not_sent_on(end: str) -> None:
+    """While a request waits behind another nothing is read, so the loop tells of no end."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            client.send(request(1) + request(2) + request(3))
+            asked = await sidecar.endpoints[0].next()
+            assert len(caller.waiting) == 2
+            if end == "resets":
+                client.reset()
+            elif end == "closes":
+                client.sock.close()
+            else:
+                client.sock.shutdown(socket.SHUT_WR)
+            asked.reply()
+            await until(lambda: not sidecar.server.callers)
+            assert sidecar.host.serial == 1
+            assert not sidecar.host.requests
+            assert sidecar.endpoints[0].asked.empty()
+
+    run(test())
+
+
+def test_caller_that_left_while_nothing_is_read_is_noticed_before_its_request_is_sent() -> None:
+    """The first waits for its connection, the second behind it; the caller goes before that is up."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            client.send(request(1) + request(2))
+            await until(lambda: caller.current is not None)
+            connecting = sidecar.host.upstream.open
+            assert connecting == 1 and sidecar.endpoints[0].connections == 0
+            client.sock.close()
+            await until(lambda: not sidecar.server.callers)
+            assert not sidecar.host.requests
+            assert sidecar.endpoints[0].asked.empty()
+            assert sidecar.host.figures.backend_calls == 0
+
+    run(test())
+
+
+def test_caller_that_left_while_its_request_is_held_is_noticed_by_the_look_at_callers() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=0) as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            client.send(request(1) + request(2))
+            await until(lambda: caller.waiting)
+            assert sidecar.host.balancer.calls  # held: there is no endpoint
+            client.sock.close()
+            caller.look_after(0)
+            await until(lambda: not sidecar.server.callers)
+            assert not sidecar.host.balancer.calls
+            assert sidecar.host.figures.busy["pay"] == 0  # nobody waited for a refusal
+
+    run(test())
+
+
+def test_caller_that_left_amid_a_body_that_is_held_back_is_noticed_before_it_is_sent() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=0) as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            whole = request(1, "pay", bytes(200_000), deadline_ms=60_000)
+            with_room = whole[: sidecar.server.most_kept + 20_000]
+            client.send(with_room)
+            await until(lambda: caller._paused)
+            client.sock.close()
+            endpoint = sidecar.discovery  # any that would take it
+            rows = read_listing(listing(2, True, row("s-9", endpoint.address))).entries
+            before = endpoint.connections
+            sidecar.host.on_list(ListForm.FULL, rows)  # the module sends what it held
+            await until(lambda: not sidecar.server.callers)
+            assert endpoint.connections == before
+            assert not sidecar.host.requests
+
+    run(test())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -51,6 +51,9 @@
 
     finish = break_off = lambda self: None
 
+    def left_unread(self) -> bool:
+        return False
+
 
 def direct(caller: Answers, grade: str = "pay") -> Request:
     """A request as the server hands it over; its head only has to end where the deadline's value follows."""
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -22,9 +22,7 @@
 
 
 def listed(*zones: str) -> list[Any]:
-    return [
-        e for i, zone in enumerate(zones) for e in endpoints(PER_ZONE, zone=zone, start=PER_ZONE * i)
-    ]
+    return [e for i, zone in enumerate(zones) for e in endpoints(PER_ZONE, zone=zone, start=PER_ZONE * i)]
 
 
 class Play(Host):
