Refuse at the end of the process what nobody would be here to answer

Cause: process.drain failed what was open and closed what was idle, and then let the loop read on for 0.1 s. A request that waited behind a failed one, whose rest came then, or that was read only then was taken, sent on, and its connection ended with the process before an answer. Ruled out: host.fail_all, which answers each request that it knows.

Change: what becomes of requests is one value (Intake: open, last, none) in place of the flag closing. Once the drain is over it is none: whatever comes whole is refused with 503 before the module hears of it, half a request is refused at once, and only connections with nothing unread are shut. Not taken: to stop reading, which resets what has arrived.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -29,6 +29,7 @@
 )
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
+from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.upstream import HOP_BY_HOP, Response
 
 MAX_HEAD = 16 * 1024
@@ -51,6 +52,7 @@
     LOST = 5
 
 
+ENDS = "the sidecar ends"  # why a request is refused that nobody would be here to answer
 READING = (Stage.OPEN, Stage.DISCARDING)
 
 
@@ -87,7 +89,7 @@
 
     host: Host
     most_kept: int  # of a body, in either direction
-    closing: bool  # each answer is the last of its connection
+    intake: Intake
     open_ids: set[bytes]  # requests that have no answer yet
 
     def joined(self, caller: CallerConnection) -> None: ...
@@ -408,7 +410,9 @@
 
     def _answer_begins(self, status: int, headers: Headers) -> list[bytes]:
         # Rule 1: what waits behind this request was taken too, so it is answered even while we drain.
-        self.keep = self.keep and not self._unread() and (bool(self.waiting) or not self.server.closing)
+        self.keep = (
+            self.keep and not self._unread() and (bool(self.waiting) or self.server.intake is Intake.OPEN)
+        )
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
         lines += [b"%s: %s" % header for header in headers if header[0].lower() not in HOP_BY_HOP]
         if not self.keep:
@@ -544,6 +548,13 @@
             return False  # it can't be told here
         return any(unacknowledged)
 
+    def end(self) -> None:
+        """The process ends: what is half here is refused, what rests is closed, what waits has its turn."""
+        if self.receiving:
+            self.stop(Rejected(503, ENDS))
+        elif self.resting():
+            self.shut()
+
     def look_after(self, now: int) -> None:
         """Guards the descriptors against callers that never begin, or never finish, what they do."""
         if self.blocked_since_us and now - self.blocked_since_us > STALL_S * 1e6:
--- a/eiderhub/sidecar/lifecycle.py
+++ b/eiderhub/sidecar/lifecycle.py
@@ -26,10 +26,18 @@
     STOPPING = "stopping"
 
 
+class Intake(Enum):
+    """What becomes of requests that come."""
+
+    OPEN = "taken"
+    LAST = "taken, and the answer is the last of its connection"
+    NONE = "refused: nobody would be here to answer"
+
+
 class Callers(Protocol):
     """The callers' connections, as far as a drain concerns them."""
 
-    closing: bool  # each answer from now on is the last of its connection
+    intake: Intake
 
     def close_idle(self, quiet_s: float) -> None:
         """Close the connections that have been idle for so long."""
@@ -76,7 +84,7 @@
             return False
         self._emptied = False
         self._call_off()
-        self._callers.closing = False
+        self._callers.intake = Intake.OPEN
         return True
 
     async def stop(self, keep_s: float, end_s: float, successor: bool = False) -> None:
@@ -96,11 +104,12 @@
         while self._callers.any_left() and now_us() < end_us:
             await asyncio.sleep(STEP_S)
         drain.cancel()
+        self._callers.intake = Intake.NONE
 
     async def _leave(self, keep_s: float, idle_s: float) -> None:
         """Answers are last ones after `keep_s`; idle connections go after `idle_s`."""
         await asyncio.sleep(keep_s)
-        self._callers.closing = True
+        self._callers.intake = Intake.LAST
         await asyncio.sleep(max(0.0, idle_s - keep_s))
         while True:
             self._callers.close_idle(QUIET_S)
--- a/eiderhub/sidecar/process.py
+++ b/eiderhub/sidecar/process.py
@@ -68,7 +68,7 @@
     keep_s = end_s - min(c.aim_us for c in host.settings.classes) / 1e6
     await lifecycle.stop(keep_s, end_s, successor)
     host.fail_all()
-    server.close_idle(0.0)
+    server.end()
     await asyncio.sleep(FLUSH_S)
 
 
--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -10,10 +10,10 @@
 
 from eiderhub.interface import Effect, RequestClass
 from eiderhub.sidecar.bodies import MOST_KEPT
-from eiderhub.sidecar.caller import CallerConnection, Incoming, Rejected
+from eiderhub.sidecar.caller import ENDS, CallerConnection, Incoming, Rejected
 from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.host import Host, Request
-from eiderhub.sidecar.lifecycle import Lifecycle
+from eiderhub.sidecar.lifecycle import Intake, Lifecycle
 from eiderhub.sidecar.upstream import HOP_BY_HOP
 
 MAX_DEADLINE_MS = 3_600_000
@@ -39,7 +39,7 @@
         self.open_ids: set[bytes] = set()
         self.classes = {c.name.encode(): c for c in host.settings.classes}
         self.tenants = {t.name for t in host.settings.tenants}
-        self.closing = False  # each answer is the last of its connection
+        self.intake = Intake.OPEN
         self._tally: dict[str, int] = {}  # what callers were turned away for, since the last line
         self.lifecycle = Lifecycle(self, host.named.is_set)
 
@@ -109,6 +109,11 @@
             if caller.quiet_since_us <= before and caller.resting():
                 caller.shut()
 
+    def end(self) -> None:
+        """The process ends: no connection is left with half a request, or with nothing to wait for."""
+        for caller in list(self.callers):
+            caller.end()
+
     def stop_listening(self) -> None:
         self.listener.close()
 
@@ -125,6 +130,8 @@
             self._up(caller, incoming)
             return None
         grade = self._class(incoming)
+        if self.intake is Intake.NONE:
+            raise Rejected(503, ENDS)
         request = self._request(caller, incoming, grade)
         if len(self.callers) > self.most:
             caller.keep = False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from typing import Any
 
@@ -14,8 +15,11 @@
 
 from eiderhub.interface import ListForm
 from eiderhub.sidecar import caller as calling
+from eiderhub.sidecar import lifecycle
+from eiderhub.sidecar import process as program
 from eiderhub.sidecar.caller import CallerConnection
 from eiderhub.sidecar.discovery import read_listing
+from eiderhub.sidecar.lifecycle import Intake
 from tests.sidecar_support import Sidecar, listing, row, run
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
@@ -126,7 +130,7 @@
         async with Sidecar() as sidecar:
             client = Raw.of(sidecar)
             await connected(sidecar)
-            sidecar.server.closing = True
+            sidecar.server.intake = Intake.LAST
             client.send(request(1))
             sidecar.server.close_idle(0.0)  # the loop has not come to the request
             (await sidecar.endpoints[0].next()).reply()
@@ -240,18 +244,24 @@
     run(test())
 
 
-def test_caller_that_left_while_nothing_is_read_is_noticed_before_its_request_is_sent() -> None:
+def test_caller_that_left_while_nothing_is_read_is_noticed_before_its_request_is_sent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """The first waits for its connection, the second behind it; the caller goes before that is up."""
 
     async def test() -> None:
         async with Sidecar() as sidecar:
             client = Raw.of(sidecar)
-            (caller,) = await connected(sidecar)
+            await connected(sidecar)
+            order = sidecar.host.balancer.order
+
+            def ordered(*values: Any) -> None:
+                order(*values)  # the connection has begun to come up, and the second is not read yet
+                client.sock.close()
+
+            monkeypatch.setattr(sidecar.host.balancer, "order", ordered)
             client.send(request(1) + request(2))
-            await until(lambda: caller.current is not None)
-            connecting = sidecar.host.upstream.open
-            assert connecting == 1 and sidecar.endpoints[0].connections == 0
-            client.sock.close()
+            await until(lambda: sidecar.host.serial)
             await until(lambda: not sidecar.server.callers)
             assert not sidecar.host.requests
             assert sidecar.endpoints[0].asked.empty()
@@ -296,3 +306,80 @@
             assert not sidecar.host.requests
 
     run(test())
+
+
+# --- the end of the process ---
+
+
+def ends_now(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A drain comes to its end at once."""
+    monkeypatch.setattr(lifecycle, "ACCEPT_S", 0.0)
+    monkeypatch.setattr(program, "LONGEST_S", 0.0)
+    monkeypatch.setattr(program, "AFTER_LONGEST_S", 0.0)
+
+
+async def drained(sidecar: Sidecar) -> None:
+    await program.drain(sidecar.server.lifecycle, sidecar.server, sidecar.host)
+
+
+def test_requests_behind_the_one_that_the_end_fails_are_refused_and_not_sent_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    ends_now(monkeypatch)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            client.send(request(1) + request(2) + request(3))
+            await sidecar.endpoints[0].next()
+            await drained(sidecar)
+            said = await client.rest()
+            assert re.findall(rb"HTTP/1.1 (\d+)", said) == [b"504", b"503", b"503"]
+            assert sidecar.endpoints[0].asked.empty()
+            assert sidecar.host.serial == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("rest_comes", ["after it", "never"])
+def test_request_that_is_half_read_at_the_end_is_refused(
+    rest_comes: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    ends_now(monkeypatch)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            whole = request(1)
+            client.send(whole[:40])
+            await until(lambda: caller.receiving)
+            end = asyncio.create_task(drained(sidecar))
+            await until(lambda: sidecar.server.intake is Intake.NONE)
+            if rest_comes == "after it":
+                client.send(whole[40:])
+            await end
+            assert (await client.rest()).startswith(b"HTTP/1.1 503 ")
+            assert sidecar.host.serial == 0
+            assert sidecar.endpoints[0].connections == 0
+
+    run(test())
+
+
+def test_request_in_the_kernel_at_the_end_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    ends_now(monkeypatch)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            caller.transport.pause_reading()
+            client.send(request(1))
+            end = asyncio.create_task(drained(sidecar))
+            await until(lambda: sidecar.server.intake is Intake.NONE)
+            caller.transport.resume_reading()
+            await end
+            assert (await client.rest()).startswith(b"HTTP/1.1 503 ")
+            assert sidecar.host.serial == 0
+
+    run(test())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -32,6 +32,7 @@
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.host import Request
+from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.logs import Bounded, Form, configure
 from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
 from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run
@@ -121,7 +122,7 @@
             client.send(body=b"0")
             client.send(body=b"1")
             asked = await sidecar.endpoints[0].next()
-            sidecar.server.closing = True
+            sidecar.server.intake = Intake.LAST
             asked.reply(200, asked.message.body)
             asked = await sidecar.endpoints[0].next()
             asked.reply(200, asked.message.body)
