Take in the callers that wait in the kernel when the listener closes

Cause: Server.stop_listening closed the listening socket, and the kernel reset every connection in its queue, those with a whole request among them. Change: the server keeps the socket that it bound, accepts what stands in the queue and closes it then. An inherited socket is another process's too, which takes them. Not taken: listening on to the very end, for the last look would have the same gap.

Test: twenty callers that the loop has accepted none of, closed in the same turn; all reset before, all answered now.

--- a/eiderhub/sidecar/server.py
+++ b/eiderhub/sidecar/server.py
@@ -41,15 +41,19 @@
         self.tenants = {t.name for t in host.settings.tenants}
         self.intake = Intake.OPEN
         self._tally: dict[str, int] = {}  # what callers were turned away for, since the last line
+        self._entering: set[asyncio.Future[Any]] = set()  # callers from the closed listener's queue
         self.lifecycle = Lifecycle(self, host.named.is_set)
 
     async def bind(self, host: str, port: int, inherited: socket.socket | None = None) -> None:
         """Take the address, or the socket that listens there; connections wait until we begin to serve."""
-        loop = asyncio.get_running_loop()
-        place: dict[str, Any] = {"sock": inherited} if inherited else {"host": host, "port": port}
-        self.listener = await loop.create_server(
-            lambda: CallerConnection(self), backlog=BACKLOG, start_serving=False, **place
+        self._socket = inherited or _bound(host, port)
+        self.listener = await asyncio.get_running_loop().create_server(
+            self._connection, backlog=BACKLOG, start_serving=False, sock=self._socket
         )
+        self._inherited = inherited is not None
+
+    def _connection(self) -> CallerConnection:
+        return CallerConnection(self)
 
     def joined(self, caller: CallerConnection) -> None:
         self.callers[caller] = None
@@ -115,10 +119,25 @@
             caller.end()
 
     def stop_listening(self) -> None:
+        """Let nobody in any more, but for those that the kernel has let in already.
+
+        Danger: closing the last copy of a listening socket resets whoever waits there, whole requests too.
+        Another process goes on with an inherited one, and takes them.
+        """
+        while not self._inherited and (found := _waiting_at(self._socket)) is not None:
+            entering = asyncio.get_running_loop().connect_accepted_socket(self._connection, found)
+            task = asyncio.ensure_future(entering)
+            self._entering.add(task)
+            task.add_done_callback(self._entered)
         self.listener.close()
 
+    def _entered(self, task: asyncio.Future[Any]) -> None:
+        self._entering.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.warning("a caller was lost as it came", reason=str(error))
+
     def any_left(self) -> bool:
-        return bool(self.callers)
+        return bool(self.callers or self._entering)
 
     # --- reading a request ---
 
@@ -214,6 +233,28 @@
         return owner
 
 
+def _bound(host: str, port: int) -> socket.socket:
+    """A socket that has the address; it does not listen yet."""
+    family, kind, _, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+    sock = socket.socket(family, kind)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        why = (error.strerror or str(error)).lower()
+        raise OSError(error.errno, f"can't listen on {host}:{port}: {why}") from None
+    return sock
+
+
+def _waiting_at(listener: socket.socket) -> socket.socket | None:
+    try:
+        return listener.accept()[0]
+    except OSError:  # nobody, or no descriptor is left
+        return None
+
+
 def _origin_form(url: bytes) -> bytes:
     """Path and query of a target that may name its scheme and host, too."""
     scheme, found, rest = url.partition(b"://")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -383,3 +383,20 @@
             assert sidecar.host.serial == 0
 
     run(test())
+
+
+def test_callers_that_the_kernel_has_let_in_are_answered_though_the_listener_closes() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            clients = [Raw.of(sidecar) for _ in range(20)]  # the loop has accepted none of them
+            for number, client in enumerate(clients):
+                client.send(request(number))
+            sidecar.server.stop_listening()
+            for _ in clients:
+                (await sidecar.endpoints[0].next()).reply()
+            for client in clients:
+                assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
+            with pytest.raises(ConnectionRefusedError):
+                Raw.of(sidecar)
+
+    run(test())
