Give each process of an endpoint a pool of its own

Cause: Upstream.place changed the address and start of a pool in place. A connection that was coming up to the process before, or carried an exchange of it, rested in the pool of the new one afterwards, and the next request went out on it: to an address that is nobody's or another's, where an unsafe request ends as one that may have run. Ruled out: idle connections, which were closed already.

Change: a new process gets a new pool and the old one is retired, so the pool's one state, ready, tells what becomes of a connection, as it does for a drain. Not taken: a number of the process on each connection.

Tests: the process is replaced while a connection comes up (by address, by start) and while one carries an exchange; all three fail on the code before.

--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -380,7 +380,7 @@
 
 
 class Pool:
-    """The connections to one endpoint."""
+    """The connections to one process of an endpoint."""
 
     def __init__(self, upstream: Upstream, host: str, port: int, launched_us: int) -> None:
         self.upstream = upstream
@@ -405,6 +405,11 @@
             self.idle.pop(0).close()
             self.upstream.open -= 1
 
+    def retire(self) -> None:
+        """The process drains or is gone: what it has may end, nothing new begins."""
+        self.ready = False
+        self.close_idle()
+
     # --- what its connections tell ---
 
     def on_written(self, connection: Connection) -> None:
@@ -505,22 +510,22 @@
                 connection.fail()
 
     def place(self, endpoint: str, host: str, port: int, launched_us: int) -> None:
-        """An endpoint that is ready; where its address is another, or its process, old connections go."""
+        """An endpoint that is ready; where its address is another, or its process, so is its pool.
+
+        What comes up or ends on a connection to the process before finds a pool that is not ready.
+        """
         pool = self.pools.get(endpoint)
+        if pool is not None and (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
+            pool.retire()
+            pool = None
         if pool is None:
-            self.pools[endpoint] = Pool(self, host, port, launched_us)
-            return
-        if (pool.host, pool.port, pool.launched_us) != (host, port, launched_us):
-            pool.close_idle()
-            pool.host, pool.port, pool.launched_us = host, port, launched_us
+            pool = self.pools[endpoint] = Pool(self, host, port, launched_us)
         pool.ready = True
 
     def retire(self, endpoint: str) -> None:
-        """An endpoint that drains or is gone: what it has may end, nothing new begins."""
         pool = self.pools.get(endpoint)
         if pool is not None:
-            pool.ready = False
-            pool.close_idle()
+            pool.retire()
 
     def close_idle(self, endpoint: str) -> None:
         pool = self.pools.get(endpoint)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,13 +13,15 @@
 
 import pytest
 
-from eiderhub.interface import ListForm
+from eiderhub.interface import ListForm, Outcome
 from eiderhub.sidecar import caller as calling
 from eiderhub.sidecar import lifecycle
 from eiderhub.sidecar import process as program
 from eiderhub.sidecar.caller import CallerConnection
 from eiderhub.sidecar.discovery import read_listing
+from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.lifecycle import Intake
+from eiderhub.sidecar.upstream import Attempt, Upstream
 from tests.sidecar_support import Sidecar, listing, row, run
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
@@ -400,3 +402,79 @@
                 Raw.of(sidecar)
 
     run(test())
+
+
+# --- endpoints: connections, processes, repeats ---
+
+
+class Listener:
+    """An endpoint whose connections the test accepts, reads and answers itself."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.port: int = self.sock.getsockname()[1]
+
+    async def accept(self) -> Raw:
+        peer, _ = await asyncio.get_running_loop().sock_accept(self.sock)
+        return Raw(peer)
+
+    async def asked(self) -> tuple[Raw, bytes]:
+        """A connection, and the first bytes on it."""
+        peer = await self.accept()
+        return peer, await peer.read()
+
+
+class Ends:
+    """Sends attempts, and hears how they end."""
+
+    def __init__(self, **settings: int) -> None:
+        self.upstream = Upstream(0, settings.get("connect_timeout_us", 5_000_000), 8, Figures(()))
+        self.outcomes: asyncio.Queue[Outcome] = asyncio.Queue()
+
+    def send(self, data: bytes = b"x") -> Attempt:
+        attempt = Attempt(0, "e", lambda *_: data, lambda _, outcome, __: self.outcomes.put_nowait(outcome))
+        self.upstream.send(attempt)
+        return attempt
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.mark.parametrize("what", ["address", "start"])
+def test_connection_that_comes_up_to_the_process_before_carries_nothing(what: str) -> None:
+    async def test() -> None:
+        before, after = Listener(), Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", before.port, 1)
+        ends.send()
+        await asyncio.sleep(0)  # the connection begins to come up
+        port = after.port if what == "address" else before.port
+        ends.upstream.place("e", "127.0.0.1", port, 1 if what == "address" else 2)
+        peer = await before.accept()
+        assert await ends.outcomes.get() is Outcome.CONNECT_FAILED
+        assert await peer.rest() == b""  # closed, with nothing written
+        ends.send()
+        peer, data = await (after if what == "address" else before).asked()
+        assert data == b"x"
+        assert ends.upstream.open == 1
+
+    run(test())
+
+
+def test_connection_that_answers_after_its_process_was_replaced_is_not_used_again() -> None:
+    async def test() -> None:
+        before, after = Listener(), Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", before.port, 1)
+        ends.send()
+        old, _ = await before.asked()
+        ends.upstream.place("e", "127.0.0.1", after.port, 2)
+        old.send(OK)
+        assert await ends.outcomes.get() is Outcome.OK  # what it had may end
+        assert await old.rest() == b""
+        ends.send()
+        await after.asked()
+        assert ends.upstream.open == 1
+
+    run(test())
