Keep a repeat whose dedup window is over from leaving, wherever its connection hangs

Cause: the module allows a repeat by the clock at its decision (may_resend), and Upstream._connect wrote it whenever the connection came up, up to the connect time-out later; a request that the endpoint took slowly left later still. Past the window the endpoints run it a second time. Ruled out: Host._data, which looks at the client's deadline alone.

Change: an attempt knows by when its last byte must leave: the window from the first attempt that may have run. It is called off then (moot: it never ran) while it connects or is not wholly written, and looked at again just before the write. Not taken: a margin of the connect time-out in the module, which gives up repeats that would have been in time.

Tests: a connection that comes up after the window, a request that is not taken before its end (both fail on the code before), and a repeat within it that works beyond it.

--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -14,7 +14,7 @@
 import structlog
 
 from eiderhub.balancer import Balancer
-from eiderhub.interface import Discovery, ListForm, Outcome, Readiness
+from eiderhub.interface import Discovery, Effect, ListForm, Outcome, Readiness
 from eiderhub.sidecar.bodies import Headers, Source, Upload, most_kept
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.sidecar.config import Config
@@ -96,6 +96,8 @@
         settings = config.settings
         self.settings = settings
         self.figures = Figures(c.name for c in settings.classes)
+        keyed = (c for c in settings.classes if c.effect is Effect.DEDUPLICATED)
+        self.windows_us = {c.name: c.dedup_window_us for c in keyed}  # in which a repeat does no harm
         self.requests: dict[str, Request] = {}
         self.serial = 0
         self.listed: set[str] = set()  # the endpoints that the list has now
@@ -314,6 +316,10 @@
             request.upload,
         )
         attempt.wait_us = max_wait_us
+        # Rule 2: the module has decided by its clock; the connection may come up after the window.
+        ran = [other.sent_us for other in request.attempts if other.ran]
+        if ran and request.grade in self.windows_us:
+            attempt.leave_in_time(min(ran) + self.windows_us[request.grade])
         request.attempts.append(attempt)
         request.out += 1
         spent = request.upload is not None and (request.upload.begun or request.upload.given_up)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -330,8 +330,8 @@
     """One try of a request at one endpoint. It ends once; `on_end` is told how."""
 
     __slots__ = (
-        "alarm", "connection", "data", "endpoint", "number", "on_end", "on_large", "over", "sent_us",
-        "until_us", "upload", "wait_us",
+        "alarm", "connection", "data", "endpoint", "leave_by_us", "leaving", "number", "on_end", "on_large",
+        "over", "ran", "sent_us", "until_us", "upload", "wait_us",
     )  # fmt: skip
 
     def __init__(
@@ -351,24 +351,37 @@
         self.upload = upload  # the body, where it is passed on as it comes
         self.wait_us = 0  # how long it may take at the most; 0: as long as the request
         self.until_us = 0  # the end of that; 0: not known yet
+        self.leave_by_us = 0  # when the last byte must have left, or none may; 0: at any time
         self.sent_us = now_us()
         self.connection: Connection | None = None
         self.alarm: Alarm | None = None
+        self.leaving: Alarm | None = None  # rings at `leave_by_us`
+        self.ran = False  # or may have: the last byte has left, and nothing said that it was turned away
         self.over = False
 
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         if self.over:
             return
         self.over = True
-        if self.alarm is not None:
-            self.alarm.cancel()
-            self.alarm = None  # it points back at the attempt
+        for alarm in (self.alarm, self.leaving):
+            if alarm is not None:
+                alarm.cancel()
+        self.alarm = self.leaving = None  # they point back at the attempt
         self.on_end(self, outcome, response)
 
     def flow(self) -> None:
         if self.connection is not None:
             self.connection.flow()
 
+    def leave_in_time(self, by_us: int) -> None:
+        """Let the last byte leave by then, wherever the connection hangs, or not at all."""
+        self.leave_by_us = by_us
+        self.leaving = Alarm(by_us, self._missed)
+
+    def _missed(self) -> None:
+        if not self.ran:
+            self.drop(Outcome.MOOT)
+
     def drop(self, outcome: Outcome) -> None:
         """Stop waiting: closing the connection keeps the late answer from any other request."""
         connection, self.connection = self.connection, None
@@ -414,8 +427,10 @@
 
     def on_written(self, connection: Connection) -> None:
         self.upstream.figures.backend_calls += 1
-        if connection.attempt is not None and connection.attempt.upload is not None:
-            connection.attempt.sent_us = now_us()  # the endpoint begins only now
+        if connection.attempt is not None:
+            connection.attempt.ran = True
+            if connection.attempt.upload is not None:
+                connection.attempt.sent_us = now_us()  # the endpoint begins only now
 
     def on_large(self, connection: Connection, head: Response) -> Receiver | None:
         attempt = connection.attempt
@@ -433,7 +448,9 @@
             self.upstream.open -= 1
         if attempt is not None:
             attempt.connection = None
-            attempt.end(classify(response), response)
+            outcome = classify(response)
+            attempt.ran = outcome is not Outcome.FULL
+            attempt.end(outcome, response)
 
     def on_lost(self, connection: Connection) -> None:
         self.upstream.open -= 1
@@ -589,7 +606,9 @@
             self._write(attempt, connection, pool)
 
     def _write(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
-        data = attempt.data(attempt, now_us())
+        now = now_us()
+        missed = attempt.leave_by_us and now >= attempt.leave_by_us
+        data = None if missed else attempt.data(attempt, now)
         if data is None:
             pool.rest(connection)
             asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -236,3 +236,12 @@
 
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+
+async def first_asked(sidecar: Sidecar) -> Asked:
+    """The next request that any endpoint gets."""
+    waits = [asyncio.create_task(fake.next()) for fake in sidecar.endpoints]
+    done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for task in pending:
+        task.cancel()
+    return done.pop().result()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import re
 import socket
 from typing import Any
@@ -18,11 +19,12 @@
 from eiderhub.sidecar import lifecycle
 from eiderhub.sidecar import process as program
 from eiderhub.sidecar.caller import CallerConnection
+from eiderhub.sidecar.clock import now_us
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.upstream import Attempt, Upstream
-from tests.sidecar_support import Sidecar, listing, row, run
+from tests.sidecar_support import SETUP, Sidecar, first_asked, listing, row, run
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
 
@@ -478,3 +480,94 @@
         assert ends.upstream.open == 1
 
     run(test())
+
+
+class Late(Listener):
+    """An endpoint whose connections come up only once the test lets them: its queue is full until then."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.sock.setblocking(False)
+        self.port = self.sock.getsockname()[1]
+        self.fillers = [socket.socket() for _ in range(2)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.sock.getsockname())
+
+    async def let_in(self) -> Raw:
+        """The first connection that is not a filler's; its handshake is repeated after a second."""
+        own = {filler.getsockname()[1] for filler in self.fillers}
+        while True:
+            peer = await self.accept()
+            if peer.sock.getpeername()[1] not in own:
+                return peer
+
+
+def keyed(window_us: int) -> list[dict[str, Any]]:
+    hold = {
+        **SETUP["Categories"][1],
+        "DedupWindowUs": window_us,
+        "AimUs": 60_000_000,
+        "DeadlineUs": 60_000_000,
+    }
+    return [SETUP["Categories"][0], hold, SETUP["Categories"][2]]
+
+
+async def reset_and_replace(sidecar: Sidecar, client: Raw, late: Late) -> None:
+    """A keyed request runs at the only endpoint and is reset there, while its only successor is late."""
+    client.send(request(1, "hold"))
+    asked = await sidecar.endpoints[0].next()
+    rows = [row("s-0", sidecar.endpoints[0].address, "draining"), row("s-9", f"127.0.0.1:{late.port}")]
+    sidecar.host.on_list(ListForm.DELTA, read_listing(listing(2, False, *rows)).entries)
+    asked.reset()
+
+
+def test_repeat_whose_connection_comes_up_after_the_window_does_not_leave() -> None:
+    limits = {**SETUP["Allowed"], "ConnectTimeoutUs": 9_000_000}
+
+    async def test() -> None:
+        async with Sidecar(Allowed=limits, Categories=keyed(400_000)) as sidecar:
+            late = Late()
+            client = Raw.of(sidecar)
+            await reset_and_replace(sidecar, client, late)
+            await until(lambda: sidecar.host.upstream.open)  # the repeat has begun, within the window
+            assert (await client.answer()).startswith(b"HTTP/1.1 502 ")  # it may have run: no refusal
+            peer = await late.let_in()
+            sidecar.host.upstream.retire("s-9")
+            assert await peer.rest() == b""
+
+    run(test())
+
+
+def test_repeat_that_its_endpoint_does_not_take_before_the_window_ends_is_called_off() -> None:
+    async def test() -> None:
+        listener = Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        attempt = ends.send(b"x" * (16 << 20))  # more than the kernels hold between them
+        attempt.leave_in_time(now_us() + 200_000)
+        peer = await listener.accept()
+        assert await ends.outcomes.get() is Outcome.MOOT
+        came = 0
+        with contextlib.suppress(ConnectionResetError):
+            while data := await peer.read(1 << 20):
+                came += len(data)
+        assert came < 16 << 20  # not whole, so nothing can run
+        assert ends.upstream.open == 0
+
+    run(test())
+
+
+def test_repeat_within_the_window_leaves_and_goes_on_after_it() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=2, Categories=keyed(400_000)) as sidecar:
+            client = Raw.of(sidecar)
+            client.send(request(1, "hold"))
+            first = await first_asked(sidecar)
+            first.reset()
+            second = await first_asked(sidecar)
+            await asyncio.sleep(0.45)  # the window ends while it works
+            second.reply()
+            assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
+
+    run(test())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -35,7 +35,7 @@
 from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.logs import Bounded, Form, configure
 from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
-from tests.sidecar_support import SETUP, Client, Fake, Sidecar, listing, row, run
+from tests.sidecar_support import SETUP, Client, Fake, Sidecar, first_asked, listing, row, run
 
 
 class Answers:
@@ -157,14 +157,6 @@
     return await first_asked(sidecar), client
 
 
-async def first_asked(sidecar: Sidecar) -> Any:
-    waits = [asyncio.create_task(fake.next()) for fake in sidecar.endpoints]
-    done, pending = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-    for task in pending:
-        task.cancel()
-    return done.pop().result()
-
-
 @pytest.mark.parametrize("status", [500, 503, 504, 429, 404])
 def test_error_that_may_have_run_is_no_refusal_and_unsafe_is_not_sent_again(status: int) -> None:
     """Rule 2: an endpoint's own 503 must not reach the client as a promise that a retry is harmless."""
