Let a connection settle after an answer before the next request is written to it

Cause: Pool.take looked for unread bytes at the instant of the write, and gave a connection out again as soon as its answer had come. A second answer to the request before that comes a moment later was then taken as the next request's answer: nothing in HTTP/1.1 tells them apart.

Change: a connection rests for 10 ms after an answer; settled ones go first, the most recently used of them. Where work queues, a pool rotates one or two connections more. Not taken: comparing an answer with the one before, which fails services whose answers are alike.

Tests: a second answer after the next request was due, half a line or an answer on a resting connection in the kernel, settled before new.

--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -31,6 +31,9 @@
 
 IDLE_SHARE = 0.85  # of the time after which endpoints close idle connections, how long we keep them
 IDLE_US = 5_000_000  # that time, where it is not told
+# A second answer to the request before may come some milliseconds late, and nothing in it tells whose it is:
+# written to meanwhile, the connection would give it to the next request. Seen up to 3 ms late.
+SETTLE_US = 10_000  # so long a connection rests after an answer
 SWEEP_S = 0.25  # how often idle connections are looked at
 TALLY_EVERY_S = 5.0  # how often the attempts' outcomes are logged
 HOLD_S = 0.05  # an answer of unknown length is passed on as it comes once it has taken so long
@@ -404,9 +407,12 @@
         self.idle: list[Connection] = []  # the most recently used last
 
     def take(self) -> Connection | None:
-        """The connection used most recently, so that the others can age and go."""
-        while self.idle:
-            connection = self.idle.pop()
+        """The settled connection that was used most recently, so that the others can age and go."""
+        settled_us = now_us() - SETTLE_US
+        for connection in reversed(self.idle):
+            if connection.exchanges and connection.idle_since > settled_us:
+                continue
+            self.idle.remove(connection)
             if not connection.stale():
                 return connection
             connection.close()
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -11,6 +11,7 @@
 
 from eiderhub.address import Address
 from eiderhub.settings import settings_from
+from eiderhub.sidecar import upstream
 from eiderhub.sidecar.config import Config
 from eiderhub.sidecar.discovery import read_listing
 from eiderhub.sidecar.host import Host
@@ -245,3 +246,8 @@
     for task in pending:
         task.cancel()
     return done.pop().result()
+
+
+async def settled() -> None:
+    """Wait until a connection that has just answered may be used again."""
+    await asyncio.sleep(upstream.SETTLE_US / 1e6)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 
 from eiderhub.interface import ListForm, Outcome
 from eiderhub.sidecar import caller as calling
-from eiderhub.sidecar import lifecycle
+from eiderhub.sidecar import lifecycle, upstream
 from eiderhub.sidecar import process as program
 from eiderhub.sidecar.caller import CallerConnection
 from eiderhub.sidecar.clock import now_us
@@ -24,7 +24,7 @@
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.upstream import Attempt, Upstream
-from tests.sidecar_support import SETUP, Sidecar, first_asked, listing, row, run
+from tests.sidecar_support import SETUP, Sidecar, first_asked, listing, row, run, settled
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
 
@@ -571,3 +571,78 @@
             assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
 
     run(test())
+
+
+def test_second_answer_that_comes_after_the_next_request_was_due_reaches_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A look at the connection before the write tells only of what has come by then."""
+    monkeypatch.setattr(upstream, "SETTLE_US", 60_000_000)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            client.send(request(1))
+            first = await sidecar.endpoints[0].next()
+            first.reply(200, b"first")
+            assert (await client.answer()).endswith(b"first")
+            client.send(request(2))
+            second = await sidecar.endpoints[0].next()
+            assert second.connection != first.connection
+            first.reply(200, b"first")  # late, and on its own connection
+            assert await sidecar.endpoints[0].ends.get() == first.connection
+            second.reply(200, b"second")
+            assert (await client.answer()).endswith(b"second")
+
+    run(test())
+
+
+@pytest.mark.parametrize("what", ["HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"])
+def test_bytes_on_a_resting_connection_end_it(what: str) -> None:
+    """Half a line, or a second answer: in the kernel, the loop has not come to it."""
+
+    async def test() -> None:
+        listener = Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        ends.send()
+        peer, _ = await listener.asked()
+        peer.send(OK)
+        assert await ends.outcomes.get() is Outcome.OK
+        await settled()
+        peer.send(what.encode())
+        ends.send(b"next")  # no turn of the loop lies between
+        fresh, data = await listener.asked()
+        assert data == b"next"
+        fresh.send(OK)
+        assert await ends.outcomes.get() is Outcome.OK
+        assert ends.upstream.open == 1
+
+    run(test())
+
+
+def test_settled_connections_are_used_before_new_ones_open(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "SETTLE_US", 60_000_000)
+
+    async def test() -> None:
+        listener = Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        for _ in range(2):
+            ends.send()
+        peers = [(await listener.asked())[0] for _ in range(2)]
+        for peer in peers:
+            peer.send(OK)
+            assert await ends.outcomes.get() is Outcome.OK
+        ends.upstream.pools["e"].idle[0].idle_since -= 60_000_000  # the first has settled
+        ends.send()
+        assert await peers[0].read() == b"x"
+        assert ends.upstream.open == 2
+        ends.send()  # the second has not
+        fresh, _ = await listener.asked()
+        assert ends.upstream.open == 3
+        for peer in (peers[0], fresh):
+            peer.send(OK)
+            assert await ends.outcomes.get() is Outcome.OK
+
+    run(test())
