Give each watch its own state, and let one bad entry or callback cost no list

Causes, from the reading of sidecar/discovery.py: 1. Watcher._run delivered outside its try: a callback that raised ended the task, _task stayed set, and no list came again. 2. One entry of an unknown form made the whole list unreadable, and each later one, for good; the same entry in the known list kept the process from starting. A port past 65535 ended the task of the connection with its attempt unanswered. 3. A call that crossed discovery's close of the kept connection, and a watch that fell silent, were failures that the module waited out (0.25 to 0.75 s, more each time), while what the silent one missed counts as told 2 s after its wait. 4. A pushed list was asked for up to 6 s after discovery was back, though all of it counts as told from that moment. 5. An older list was applied over a newer one. 6. Answer, gap and patience were attributes of the watcher, so the end of one watch could cancel the gap of the next.

Change: Call and Watch hold one call's and one watch's state; a closed watch hears nothing. A call that said nothing is repeated once within 0.2 s. The list counts as had once it was delivered. Entries are read one by one where the list as a whole can't be: one with an id gets nothing new, as a draining one, and a whole list of nothing readable is refused and logged. An older answer leads to the whole list, which then stands. Not taken: repeating calls that were reset mid-wait; a fleet's would come back in step. Ruled out: a connection that comes up at its very time-out (uvloop closes it without a word to us; counted once, probed).

--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -10,6 +10,7 @@
 from typing import Annotated, Any
 
 import msgspec
+import structlog
 from msgspec import Meta, Struct
 
 from eiderhub.address import PATTERN, Address, AddressText, parse
@@ -19,13 +20,14 @@
 from eiderhub.registry.names import Name
 from eiderhub.registry.settings import Follow, Register
 from eiderhub.settings import Setup
-from eiderhub.sidecar.discovery import Listing, Roll
+from eiderhub.sidecar.discovery import Listing, Roll, readable
 from eiderhub.sidecar.logs import LINES_PER_S, Form
 
 SOCKETS = 1024  # descriptors, where the configuration states no limit
 MEMORY_MB = 128  # likewise
 
 
+log = structlog.get_logger()
 PEOPLE_ONLY = ("registry", "register", "regions")  # tables that only TOML may have
 
 
@@ -114,10 +116,22 @@
     if not people and isinstance(document, dict):
         # What the platform's configuration names keeps the platform's meaning, whatever it may come to name.
         document = {key: value for key, value in document.items() if key not in PEOPLE_ONLY}
+        document["known"] = _sifted(document.get("known"))
     found: Document = convert(document, Document, path, people)
     return found
 
 
+def _sifted(known: Any) -> Any:
+    """The list that was known last, less entries that can't be read: they must not stop the start."""
+    if not isinstance(known, dict) or not isinstance(known.get("instances"), list):
+        return known
+    found = [entry for entry in known["instances"] if readable(entry)]
+    if len(found) in (0, len(known["instances"])):  # none: its first fault is told
+        return known
+    log.warning("entries of the known list can't be read", entries=len(known["instances"]) - len(found))
+    return {**known, "instances": found}
+
+
 def _document(environ: Mapping[str, str]) -> Document:
     path = environ.get("GW_CONFIG")
     if not path:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -5,14 +5,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Annotated, NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 import structlog
 from msgspec import Meta, Struct
 
 from eiderhub.interface import Endpoint, ListForm, Readiness
-from eiderhub.sidecar.clock import UNIX_OFFSET_US
+from eiderhub.sidecar.clock import UNIX_OFFSET_US, now_us
 from eiderhub.sidecar.upstream import Connection, Response
 
 WAIT_MS = 30_000  # a watch waits so long at most: discovery works through its calls in turn, so few are best
@@ -25,7 +25,11 @@
 MOST_LIST_S = 5.0  # and take so long as a whole
 CONNECT_S = 2.0
 MOST_LIST = 8 << 20  # bytes
-PUSH_BACKOFF_S = (0.25, 4.0)  # first and longest wait after a failure, where nobody else decides on it
+ASK_AGAIN_S = 0.2  # a call that said nothing is repeated within so long: a fleet's come back out of step
+CROSSING_US = 100_000  # an end that comes so soon after a call on a kept connection was on its way before
+# First and longest wait after a failure, where nobody else decides on it. Danger: what is pushed counts as
+# told from the moment that discovery is back.
+PUSH_BACKOFF_S = (0.05, 0.15)
 log = structlog.get_logger()
 
 
@@ -43,6 +47,8 @@
 
     def listed(self) -> Listed:
         host, _, port = self.host_port.rpartition(":")
+        if not 0 < int(port) < 1 << 16:
+            raise ValueError(f"{self.host_port}: no port has this number")
         host = host.strip("[]")
         started_ms = int(self.started_at_ms or 0)
         weight = self.weight or 1.0
@@ -70,6 +76,14 @@
         return Listing(self.generation, self.reset, [instance.listed() for instance in self.instances])
 
 
+class Sheet(Struct, frozen=True, kw_only=True):
+    """A list whose entries are still to be read."""
+
+    generation: int
+    reset: bool
+    instances: list[Any]
+
+
 class Listed(NamedTuple):
     """One entry: the endpoint as the module knows it, and where it listens."""
 
@@ -90,7 +104,167 @@
     Raises:
         ValueError: where it is no list; nothing of it may be used then.
     """
-    return msgspec.json.decode(body, type=Roll).listing()
+    try:
+        return msgspec.json.decode(body, type=Roll).listing()
+    except (ValueError, OverflowError):
+        return _sifted(msgspec.json.decode(body, type=Sheet))
+
+
+def readable(document: Any) -> bool:
+    """Whether an entry can be read."""
+    try:
+        msgspec.convert(document, Instance).listed()
+    except (ValueError, OverflowError):
+        return False
+    return True
+
+
+def _sifted(sheet: Sheet) -> Listing:
+    """A list of which some entries can't be read: they cost only themselves.
+
+    One whose id can be read gets nothing new, as one that drains: whatever it says, it does not say ready.
+    """
+    entries: list[Listed] = []
+    bad: list[Exception] = []
+    for document in sheet.instances:
+        try:
+            entries.append(msgspec.convert(document, Instance).listed())
+        except (ValueError, OverflowError) as error:
+            bad.append(error)
+            fields = document if isinstance(document, dict) else {}
+            name, zone = fields.get("instanceId"), fields.get("zone")
+            if isinstance(name, str):
+                told = zone if isinstance(zone, str) else ""
+                entries.append(Listed(Endpoint(name, told, "", -1, Readiness.DRAINING), "", 0))
+    if sheet.reset and bad and len(bad) == len(sheet.instances):
+        raise ValueError(f"no entry can be read: {bad[0]}")
+    if bad:
+        log.warning("entries of a list can't be read", entries=len(bad), first=str(bad[0]))
+    return Listing(sheet.generation, sheet.reset, entries)
+
+
+class Call:
+    """One call to discovery on one connection, up to its answer."""
+
+    def __init__(self, connection: Connection, patience_s: float, on_kept: bool) -> None:
+        self.on_kept = on_kept  # the connection had carried calls before
+        self.sent_us = now_us()
+        self.answer: asyncio.Future[Response] = asyncio.get_running_loop().create_future()
+        self.began = False  # something of the answer has come
+        self._connection = connection
+        self._patience_s = patience_s
+        self._gap: asyncio.TimerHandle | None = None
+
+    async def wait(self) -> Response:
+        """The whole answer.
+
+        Raises:
+            TimeoutError: it did not begin, or stood still, or did not end in time.
+            ConnectionResetError: the connection ended.
+        """
+        self._connection.on_moved = self._moved
+        try:
+            async with asyncio.timeout(self._patience_s) as self._patience:
+                return await self.answer
+        finally:
+            self._connection.on_moved = None
+            self._mind_gap(False)
+
+    def _moved(self) -> None:
+        """More has come: from an answer's first byte on only a gap, or its whole length, ends the wait."""
+        if self.answer.done():
+            return
+        if not self.began:
+            self.began = True
+            self._patience.reschedule(asyncio.get_running_loop().time() + MOST_LIST_S)
+        self._mind_gap(True)
+
+    def _mind_gap(self, on: bool) -> None:
+        if self._gap is not None:
+            self._gap.cancel()
+        self._gap = asyncio.get_running_loop().call_later(GAP_S, self._stalled) if on else None
+
+    def _stalled(self) -> None:
+        self.end(TimeoutError("the list stands still"))
+
+    def end(self, error: Exception) -> None:
+        if not self.answer.done():
+            self.answer.set_exception(error)
+
+
+class Watch:
+    """A watch at one address: its connection, and the call that is out. Once closed it hears nothing more."""
+
+    def __init__(self, host: str, port: int, wait_ms: int) -> None:
+        self.host = host
+        self.port = port
+        self.wait_ms = wait_ms
+        self._connection: Connection | None = None
+        self._call: Call | None = None
+
+    async def ask(self, generation: int | None) -> Listing:
+        """The changes since then, or the whole list; a call that says nothing is repeated once.
+
+        Danger: what falls silent looks like one with nothing to tell, and what it missed counts as told soon
+        after. A kept connection may be closed, rightly, as the next call is written to it.
+        """
+        try:
+            return await self._ask(generation)
+        except (TimeoutError, ConnectionResetError) as error:
+            call = self._call
+            crossed = call is not None and call.on_kept and now_us() - call.sent_us < CROSSING_US
+            if call is None or call.began or not (isinstance(error, TimeoutError) or crossed):
+                raise
+            log.info("discovery is asked again", reason=str(error) or "no answer")
+            self.close()
+        await asyncio.sleep(random.uniform(0.0, ASK_AGAIN_S))
+        return await self._ask(generation)
+
+    async def _ask(self, generation: int | None) -> Listing:
+        self._call = None
+        kept = self._connection is not None and not self._connection.lost
+        if self._connection is None or self._connection.lost:
+            self._connection = await self._connect()
+        wait_ms = int(self.wait_ms * random.uniform(WAIT_FROM, 1.0))
+        query = "" if generation is None else f"?after={generation}&wait_ms={wait_ms}"
+        patience_s = PATIENCE_S + (wait_ms / 1000 if query else 0.0)
+        call = self._call = Call(self._connection, patience_s, kept)
+        head = f"GET /discovery/hosts{query} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
+        self._connection.send(head.encode())
+        response = await call.wait()
+        if response.status != 200:
+            raise ValueError(f"answered {response.status}")
+        listing = read_listing(response.body)
+        if not query and not listing.whole:
+            raise ValueError("not the whole list, which was asked for")
+        return listing
+
+    async def _connect(self) -> Connection:
+        fresh = Connection(self, MOST_LIST)
+        async with asyncio.timeout(CONNECT_S):
+            await asyncio.get_running_loop().create_connection(lambda: fresh, self.host, self.port)
+        return fresh
+
+    def close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    # --- what the connection tells ---
+
+    def on_written(self, connection: Connection) -> None:
+        pass  # a call to discovery is no attempt
+
+    def on_large(self, connection: Connection, head: Response) -> None:
+        return None  # a list is read whole or not at all
+
+    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
+        if self._call is not None and not self._call.answer.done():
+            self._call.answer.set_result(response)
+
+    def on_lost(self, connection: Connection) -> None:
+        if self._call is not None:
+            self._call.end(ConnectionResetError("the connection ended"))
 
 
 class Watcher:
@@ -112,17 +286,17 @@
         self.wait_ms = min(WAIT_MS, int(WAIT_SHARE * ask_every_us / 1000) or WAIT_MS)
         self.deliver = deliver
         self._task: asyncio.Task[None] | None = None
-        self._connection: Connection | None = None
-        self._answer: asyncio.Future[Response] | None = None
-        self._gap: asyncio.TimerHandle | None = None
+        self._watch: Watch | None = None
 
     def turn(self, on: bool) -> None:
         if on and self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._watch = Watch(self.host, self.port, self.wait_ms)
+            self._task = asyncio.get_running_loop().create_task(self._run(self._watch))
         elif not on and self._task is not None:
             self._task.cancel()
             self._task = None
-            self._hang_up()  # its answer would come in for the next watch
+            if self._watch is not None:
+                self._watch.close()  # what it still brings belongs to nobody
 
     def move(self, host: str, port: int) -> None:
         """Discovery answers elsewhere from now on: watch there at once, whatever backoff is under way."""
@@ -130,78 +304,25 @@
         self.host, self.port = host, port
         self.turn(True)
 
-    async def _run(self) -> None:
+    async def _run(self, watch: Watch) -> None:
         wait, most = PUSH_BACKOFF_S
+        whole = False  # whether the next call asks for the whole list
         while True:
             try:
-                listing = await self._ask()
+                listing = await watch.ask(None if whole else self.generation)
+                whole = not whole and listing.generation < self.generation
+                if whole:
+                    log.warning("discovery told of an older list", has=listing.generation, we=self.generation)
+                    continue
+                self.deliver(ListForm.FULL if listing.whole else ListForm.DELTA, listing.entries)
+                self.generation = listing.generation  # not before: what could not be used comes again
+                wait = PUSH_BACKOFF_S[0]
             except Exception as error:  # whatever it is, the list must not stay as it is for good
                 log.warning("discovery failed", reason=str(error) or type(error).__name__)
-                self._hang_up()
+                watch.close()
                 if not self.persist:
                     self._task = None
                     self.deliver(ListForm.FAILED, [])
                     return
                 await asyncio.sleep(wait * random.uniform(0.5, 1.5))
                 wait = min(2 * wait, most)
-                continue
-            wait = PUSH_BACKOFF_S[0]
-            self.generation = listing.generation
-            self.deliver(ListForm.FULL if listing.whole else ListForm.DELTA, listing.entries)
-
-    async def _ask(self) -> Listing:
-        loop = asyncio.get_running_loop()
-        if self._connection is None or self._connection.lost:
-            fresh = Connection(self, MOST_LIST)
-            async with asyncio.timeout(CONNECT_S):
-                await loop.create_connection(lambda: fresh, self.host, self.port)
-            fresh.on_moved = self._moved
-            self._connection = fresh
-        self._answer = loop.create_future()
-        wait_ms = int(self.wait_ms * random.uniform(WAIT_FROM, 1.0))
-        path = f"/discovery/hosts?after={self.generation}&wait_ms={wait_ms}"
-        self._connection.send(f"GET {path} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n".encode())
-        try:
-            async with asyncio.timeout(wait_ms / 1000 + PATIENCE_S) as self._patience:
-                response = await self._answer
-        finally:
-            self._mind_gap(False)
-        if response.status != 200:
-            raise ValueError(f"answered {response.status}")
-        return read_listing(response.body)
-
-    def _moved(self) -> None:
-        """More has come: from an answer's first byte on only a gap, or its whole length, ends the wait."""
-        if self._answer is None or self._answer.done():
-            return
-        if self._gap is None:
-            self._patience.reschedule(asyncio.get_running_loop().time() + MOST_LIST_S)
-        self._mind_gap(True)
-
-    def _mind_gap(self, on: bool) -> None:
-        if self._gap is not None:
-            self._gap.cancel()
-        self._gap = asyncio.get_running_loop().call_later(GAP_S, self._stalled) if on else None
-
-    def _stalled(self) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(TimeoutError("the list stands still"))
-
-    def _hang_up(self) -> None:
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
-
-    def on_written(self, connection: Connection) -> None:
-        pass  # a call to discovery is no attempt
-
-    def on_large(self, connection: Connection, head: Response) -> None:
-        return None  # a list is read whole or not at all
-
-    def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_result(response)
-
-    def on_lost(self, connection: Connection) -> None:
-        if self._answer is not None and not self._answer.done():
-            self._answer.set_exception(ConnectionResetError("the connection ended"))
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -597,7 +597,7 @@
             # A machine that has vanished says nothing: a connection that does not come up has to be given up.
             async with asyncio.timeout(self.connect_timeout_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, pool.host, pool.port)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):  # the last two: no address at all
             self.open -= 1
             attempt.end(Outcome.CONNECT_FAILED)
             return
