--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -272,3 +272,16 @@
     path.write_text(json.dumps(document), encoding="utf-8")
     found = load({"GW_CONFIG": str(path)}).known
     assert (found.generation, [entry.endpoint.id for entry in found.entries]) == (4, ["s-0"])
+
+
+def test_pushed_lists_are_asked_for_again_soon_however_long_discovery_was_down() -> None:
+    """With a wait that doubles up to seconds this takes longer than a test may."""
+
+    async def test() -> None:
+        async with Watched(persist=True) as watched:
+            for _ in range(20):
+                (await watched.fake.next()).reply(503, b"")
+            (await watched.fake.next()).reply(200, listing(2, False, E0))
+            assert await watched.forms() is ListForm.DELTA
+
+    run(test())
