--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -10,7 +10,6 @@
 from typing import Annotated, Any
 
 import msgspec
-import structlog
 from msgspec import Meta, Struct
 
 from eiderhub.address import PATTERN, Address, AddressText, parse
@@ -27,7 +26,6 @@
 MEMORY_MB = 128  # likewise
 
 
-log = structlog.get_logger()
 PEOPLE_ONLY = ("registry", "register", "regions")  # tables that only TOML may have
 
 
@@ -128,8 +126,7 @@
     found = [entry for entry in known["instances"] if readable(entry)]
     if len(found) in (0, len(known["instances"])):  # none: its first fault is told
         return known
-    log.warning("entries of the known list can't be read", entries=len(known["instances"]) - len(found))
-    return {**known, "instances": found}
+    return {**known, "instances": found, "unreadable": len(known["instances"]) - len(found)}
 
 
 def _document(environ: Mapping[str, str]) -> Document:
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -71,9 +71,11 @@
     generation: int
     reset: bool  # whether the list is whole
     instances: list[Instance]
+    unreadable: int = 0  # entries that were left out
 
     def listing(self) -> Listing:
-        return Listing(self.generation, self.reset, [instance.listed() for instance in self.instances])
+        entries = [instance.listed() for instance in self.instances]
+        return Listing(self.generation, self.reset, entries, self.unreadable)
 
 
 class Sheet(Struct, frozen=True, kw_only=True):
@@ -96,6 +98,7 @@
     generation: int
     whole: bool
     entries: list[Listed]
+    unreadable: int = 0
 
 
 def read_listing(body: bytes) -> Listing:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -131,6 +131,8 @@
     def start(self) -> None:
         """Start the module on the list that was known last, which is in use until discovery answers."""
         self.balancer.start(now_us())
+        if self.known.unreadable:
+            log.warning("entries of the known list can't be read", entries=self.known.unreadable)
         kept = not isinstance(self.watcher, Watcher) and self.watcher.recall()
         if not kept:
             self.on_list(ListForm.CACHED, self.known.entries)
