Read a configuration again that is not whole yet when SIGHUP comes

Cause: process.reload read the file once, at the signal. A file that was still being written gave an error in the log, and the sidecar stayed with the old discovery, which closes its connections 1.5 s later. Change: a file that can't be read is read again for a second; a further signal begins anew. Not taken: following the file without a signal.

--- a/eiderhub/sidecar/process.py
+++ b/eiderhub/sidecar/process.py
@@ -41,6 +41,7 @@
 REMEMBER_TURNS = 5  # of these: how often what was learned is written down
 FIRST_LIST_S = 2.0  # how long a process beside another waits for a list before it serves all the same
 LEAVE_S = 0.3  # for the list service to hear that we are gone
+READ_TRIES, READ_AGAIN_S = 11, 0.1  # how often, and after what wait, a configuration is read after SIGHUP
 LAG_EVERY_S = 0.1
 LAG_LOG_S = 10.0
 LAG_WORTH_US = 50_000  # a lag that eats a good part of the margin for answers
@@ -84,13 +85,22 @@
         await asyncio.sleep(SHARE_EVERY_S)
 
 
-def reload(host: Host) -> None:
-    """SIGHUP: follow discovery to the address that the configuration file names now."""
-    try:
-        address = load_discovery(os.environ)
-    except ConfigError as error:
-        log.error("the configuration was not reloaded", reason=str(error))
-        return
+async def reload(host: Host) -> None:
+    """SIGHUP: follow discovery to the address that the configuration file names now.
+
+    The file may still be on its way to the disk: one that can't be read is read again for a while.
+    """
+    for tries_left in range(READ_TRIES - 1, -1, -1):
+        try:
+            address = load_discovery(os.environ)
+            break
+        except ConfigError as error:
+            if not tries_left:
+                log.error("the configuration was not reloaded", reason=str(error))
+                return
+            if tries_left == READ_TRIES - 1:
+                log.warning("the configuration is read again", reason=str(error))
+        await asyncio.sleep(READ_AGAIN_S)
     if isinstance(address, Address) and isinstance(host.watcher, Watcher):
         log.info("discovery has moved", to=f"{address.host}:{address.port}")
         host.watcher.move(address.host, address.port)
@@ -101,6 +111,19 @@
         log.error("the configuration was not reloaded", reason="[registry] needs a restart")
 
 
+class Reloading:
+    """Carries out one reload at a time: a signal amid one begins it anew."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+        self._task: asyncio.Task[None] | None = None
+
+    def begin(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+        self._task = asyncio.get_running_loop().create_task(reload(self._host))
+
+
 def begin_registration(register: Register) -> Registration:
     """Have the endpoint beside us listed for as long as it lives and we do."""
     from eiderhub.address import parse
@@ -127,7 +150,7 @@
     spare = MOST + OWN_DESCRIPTORS if config.management else 0
     sockets = max(1, config.sockets - spare)
     host = Host(config, max(1, int(UPSTREAM_SHARE * sockets)), memory)
-    loop.add_signal_handler(signal.SIGHUP, reload, host)
+    loop.add_signal_handler(signal.SIGHUP, Reloading(host).begin)
     callers = max(1, int(CALLERS_SHARE * sockets))
     server = Server(host, callers, most_kept(memory, callers))
     await server.bind(config.listen.host, config.listen.port, inherited)
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -4,7 +4,11 @@
 
 import asyncio
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import uvloop
@@ -251,3 +255,16 @@
 async def settled() -> None:
     """Wait until a connection that has just answered may be used again."""
     await asyncio.sleep(upstream.SETTLE_US / 1e6)
+
+
+def started(tmp_path: Path, changes: dict[str, Any]) -> subprocess.Popen[str]:
+    document = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", **changes}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(document), encoding="utf-8")
+    environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
+    return subprocess.Popen(
+        [sys.executable, "-m", "eiderhub.sidecar"],
+        env={**environ, "GW_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -7,11 +7,8 @@
 import io
 import json
 import logging
-import os
 import signal
 import socket
-import subprocess
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -35,7 +32,18 @@
 from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.logs import Bounded, Form, configure
 from eiderhub.sidecar.upstream import Attempt, Receiver, Response, Upstream
-from tests.sidecar_support import SETUP, Client, Fake, Sidecar, first_asked, listing, row, run, settled
+from tests.sidecar_support import (
+    SETUP,
+    Client,
+    Fake,
+    Sidecar,
+    first_asked,
+    listing,
+    row,
+    run,
+    settled,
+    started,
+)
 
 
 class Answers:
@@ -897,19 +905,6 @@
 # --- the process ---
 
 
-def started(tmp_path: Path, changes: dict[str, Any]) -> subprocess.Popen[str]:
-    document = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f", **changes}
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(document), encoding="utf-8")
-    environ = {k: v for k, v in os.environ.items() if not k.startswith("GW_")}
-    return subprocess.Popen(
-        [sys.executable, "-m", "eiderhub.sidecar"],
-        env={**environ, "GW_CONFIG": str(path)},
-        stderr=subprocess.PIPE,
-        text=True,
-    )
-
-
 @pytest.mark.parametrize(
     ("changes", "reason"),
     [
