Parse no more of a flood than one connection may hold, and force the reading's other crossings

Cause: CallerConnection.buffer_updated parsed all 32 KiB of a read at once. Reading was paused after the first request that had to wait, but the others of that read were requests by then: 989 of 33 bytes on one connection, each many times its bytes, on as many connections as there are descriptors. Change: a read is parsed in pieces of 2 KiB and stops before the next piece while a request waits; what is left stays as bytes. Not taken: a limit on pipelined requests, which would end connections that keep to HTTP.

Tests on real sockets besides (ruled out, they hold on the code before, too): an unsafe request reset at five moments is never sent again; an answer without length that is reset (at once, within the hold, while it passes, while the caller reads nothing; for callers of 1.1 and 1.0) is never whole; 40 callers that leave in a burst; peers that trickle.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -36,6 +36,7 @@
 READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
 BODY_S = 1.5  # after a head that took long, for the body to begin
 BODY_RATE = 48_000  # bytes a second that a body has to keep up: slow clients send 64 kB, with pauses
+PIECE = 2048  # bytes that are parsed at a time: so many small requests at most wait on one connection
 LINGER_S = 1.0  # how long input is still read after our end, for the caller to see it and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
@@ -134,6 +135,7 @@
         self._source: Source | None = None  # where an answer comes from that is passed on
         self._chunked = False  # how that answer is framed
         self._paused = False
+        self._unfed = b""  # read, but not parsed yet
         self._linger: asyncio.TimerHandle | None = None
         self._first = True  # no answer has been given yet
         self.parser = httptools.HttpRequestParser(self)
@@ -152,10 +154,26 @@
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        if nbytes <= PIECE and not self._unfed:
+            self._feed(memoryview(self._buffer)[:nbytes])
+        else:
+            self._unfed += memoryview(self._buffer)[:nbytes]
+            self._feed_on()
+
+    def _feed_on(self) -> None:
+        """Parse what was read, up to a request that has to wait: parsed, it takes many times the room."""
+        while self._unfed and not self.waiting and self.stage in READING:
+            piece, self._unfed = self._unfed[:PIECE], self._unfed[PIECE:]
+            self._feed(piece)
+        if self.stage not in READING:
+            self._unfed = b""
+        self.flow()
+
+    def _feed(self, data: bytes | memoryview) -> None:
         if self.stage not in READING:
             return
         try:
-            self.parser.feed_data(memoryview(self._buffer)[:nbytes])
+            self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.stage = Stage.LAST  # the request itself was taken, and its answer closes the connection
         except httptools.HttpParserError:
@@ -187,6 +205,7 @@
             self._linger = None
         del self.parser  # it calls back into this object: a cycle, and those would pile up
         self.waiting.clear()
+        self._unfed = b""
         self._incoming = self._source = self._served = None
         self.server.left(self)
         current = self._over()
@@ -204,7 +223,7 @@
     def flow(self) -> None:
         """Read on, or stop reading, as what has come is taken."""
         upload = self._incoming.upload if self._incoming is not None else None
-        pause = bool(self.waiting) or (upload is not None and upload.congested)
+        pause = bool(self.waiting or self._unfed) or (upload is not None and upload.congested)
         if pause == self._paused or self.transport.is_closing():
             return
         self._paused = pause
@@ -487,8 +506,8 @@
         if self.left_unread():
             return
         incoming = self.waiting.pop(0)
-        self.flow()
         self._serve(incoming)
+        self._feed_on()
 
     def _unread(self) -> bool:
         """Whether the body of the request that is answered is still coming in."""
@@ -505,7 +524,7 @@
         if self.stage is Stage.OPEN and self._unread():
             self.stage = Stage.DISCARDING
             self.waiting.clear()
-            self.flow()
+            self._feed_on()
         else:
             self.shut()
 
@@ -521,6 +540,7 @@
         self.stage = Stage.SHUT
         self.due_us = 0
         self.waiting.clear()
+        self._unfed = b""
         self._incoming = None
         self.flow()
         if not self.transport.is_closing():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import re
+import select
 import socket
 from typing import Any
 
@@ -24,7 +25,7 @@
 from eiderhub.sidecar.figures import Figures
 from eiderhub.sidecar.lifecycle import Intake
 from eiderhub.sidecar.upstream import Attempt, Upstream
-from tests.sidecar_support import SETUP, Sidecar, first_asked, listing, row, run, settled
+from tests.sidecar_support import SETUP, Fake, Sidecar, first_asked, listing, row, run, settled
 
 RESETS = b"\x01\0\0\0\0\0\0\0"  # a linger of no time
 
@@ -646,3 +647,218 @@
             assert await ends.outcomes.get() is Outcome.OK
 
     run(test())
+
+
+# --- answers that break off, and requests that may not run twice ---
+
+
+class Peers:
+    """Two raw endpoints behind a sidecar; what each connection has been sent, whole requests counted."""
+
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.listeners = [Listener(), Listener()]
+        rows = [row(f"s-{i}", f"127.0.0.1:{each.port}") for i, each in enumerate(self.listeners)]
+        sidecar.host.on_list(ListForm.FULL, read_listing(listing(2, True, *rows)).entries)
+
+    async def accept(self) -> Raw:
+        """The next connection at either."""
+        tasks = [asyncio.ensure_future(each.accept()) for each in self.listeners]
+        done, pending = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+        return done.pop().result()
+
+    def waiting(self) -> bool:
+        """Whether a further connection has come."""
+        return any(_readable(each.sock) for each in self.listeners)
+
+
+def _readable(sock: socket.socket) -> bool:
+    return bool(select.select([sock], [], [], 0)[0])
+
+
+@pytest.mark.parametrize("moment", ["nothing read", "half read", "all read", "half a line", "half the body"])
+def test_unsafe_request_whose_connection_is_reset_at_any_moment_is_not_sent_again(moment: str) -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            peers = Peers(sidecar)
+            client = Raw.of(sidecar)
+            client.send(request(1))
+            peer = await peers.accept()
+            if moment != "nothing read":
+                await peer.read(20 if moment == "half read" else 1 << 16)
+            if moment.startswith("half ") and moment != "half read":
+                whole = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok"
+                peer.send(whole[:9] if moment == "half a line" else whole)
+            peer.reset()
+            assert (await client.answer()).startswith(b"HTTP/1.1 502 ")
+            assert not peers.waiting()
+            assert not sidecar.host.requests
+
+    run(test())
+
+
+def test_unsafe_request_that_never_left_goes_to_another_endpoint() -> None:
+    """The connection is refused: nothing ran, and the request is not failed for it."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            peers = Peers(sidecar)
+            peers.listeners[0].sock.close()
+            for number in range(6):  # each draws its endpoint at random
+                client = Raw.of(sidecar)
+                client.send(request(number))
+                peer = await peers.listeners[1].accept()
+                assert (await peer.read()).startswith(b"POST /pay/a")
+                peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+                assert (await client.answer()).endswith(b"ok")
+
+    run(test())
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize(
+    "moment", ["at once", "within the hold", "while it passes", "while the caller reads nothing"]
+)
+def test_answer_without_length_that_is_reset_is_never_whole(
+    version: str, moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A reset is no end, whenever it comes; only the endpoint's own end is."""
+    if moment != "while it passes":
+        monkeypatch.setattr(upstream, "HOLD_S", 60.0)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            peers = Peers(sidecar)
+            client = Raw.of(sidecar, receive_bytes=4096)
+            client.send(request(1).replace(b"HTTP/1.1", b"HTTP/" + version.encode()))
+            peer = await peers.accept()
+            await peer.read()
+            peer.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+            if moment == "within the hold":
+                await until(lambda: _body_has_come(sidecar))
+            elif moment == "while it passes":
+                assert (await client.read()).startswith(b"HTTP/1.1 200 ")
+            elif moment == "while the caller reads nothing":
+                with contextlib.suppress(BlockingIOError):
+                    while True:  # until neither kernel takes more: the sidecar has stopped reading
+                        peer.sock.send(b"x" * 65536)
+                        await asyncio.sleep(0)
+                await until(lambda: any(c._paused for c in sidecar.host.upstream.streams))
+            peer.reset()
+            if moment in ("at once", "within the hold"):
+                assert (await client.answer()).startswith(b"HTTP/1.1 502 ")
+                assert not sidecar.host.requests
+                return
+            said = b""
+            broken = False
+            try:
+                while more := await client.read():
+                    said += more
+            except ConnectionResetError:
+                broken = True
+            assert broken and not said.endswith(b"0\r\n\r\n")  # it has begun: the caller can tell
+            assert not sidecar.host.requests
+
+    run(test())
+
+
+def _body_has_come(sidecar: Sidecar) -> bool:
+    attempts = [attempt for each in sidecar.host.requests.values() for attempt in each.attempts]
+    return any(attempt.connection is not None and attempt.connection._body for attempt in attempts)
+
+
+# --- many at once ---
+
+
+def test_requests_of_callers_that_leave_in_a_burst_are_not_sent_on() -> None:
+    async def test() -> None:
+        async with Sidecar(endpoints=0) as sidecar:
+            clients = [Raw.of(sidecar) for _ in range(40)]
+            stays = Raw.of(sidecar)
+            for number, client in enumerate([*clients, stays]):
+                client.send(request(number))
+            await until(lambda: len(sidecar.host.balancer.calls) == 41)  # all are held: there is no endpoint
+            for number, client in enumerate(clients):
+                if number % 2:
+                    client.sock.close()
+                else:
+                    client.reset()
+            await until(lambda: len(sidecar.host.balancer.calls) == 1)
+            fake = await Fake().start()
+            rows = [row("s-9", fake.address)]
+            sidecar.host.on_list(ListForm.FULL, read_listing(listing(2, True, *rows)).entries)
+            asked = await fake.next()
+            assert asked.message.headers["req-id"] == "raw40"
+            asked.reply()
+            assert (await stays.answer()).startswith(b"HTTP/1.1 200 ")
+            assert fake.asked.empty()
+
+    run(test())
+
+
+def test_flood_of_pipelined_requests_takes_bounded_room_and_holds_no_proper_caller_up() -> None:
+    """Each connection's 32 KiB would be some 500 requests, each many times its bytes once it is parsed."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            floods = [Raw.of(sidecar) for _ in range(20)]
+            small = b"GET /look HTTP/1.1\r\nReq-Id: 1\r\n\r\n"
+            for number, flood in enumerate(floods):
+                flood.send((request(number) + small * 1000)[:32768])
+            await until(lambda: len([c for c in sidecar.server.callers if c.waiting]) == 20)
+            assert max(len(c.waiting) for c in sidecar.server.callers) <= calling.PIECE // len(small) + 1
+            proper = Raw.of(sidecar)
+            proper.send(request(99))
+            for _ in range(21):
+                (await first_asked(sidecar)).reply()
+            assert (await proper.answer()).startswith(b"HTTP/1.1 200 ")
+            for flood in floods[:10]:
+                flood.sock.close()  # amid what waits
+            for flood in floods[10:]:
+                flood.reset()
+            await until(lambda: len(sidecar.server.callers) == 1)
+            assert sidecar.host.serial == 21
+
+    run(test())
+
+
+def test_pipelined_requests_longer_than_a_piece_are_answered_in_order() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            bodies = [bytes([65 + number]) * size for number, size in enumerate((10, 5000, 3, 2048, 9000, 1))]
+            client.send(b"".join(request(n, "pay", body) for n, body in enumerate(bodies)))
+            for body in bodies:
+                asked = await sidecar.endpoints[0].next()
+                assert asked.message.body == body
+                asked.reply(200, body[:7])
+                assert (await client.answer()).endswith(b"\r\n\r\n" + body[:7])
+            assert sidecar.server.callers and not next(iter(sidecar.server.callers)).busy
+
+    run(test())
+
+
+@pytest.mark.parametrize("what", ["head", "body"])
+def test_peer_that_trickles_gets_its_error_in_time(what: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(calling, "READ_S", 0.1)
+    monkeypatch.setattr(calling, "BODY_S", 0.1)
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            whole = request(1, "pay", b"x" * 2000)
+            head = whole.index(b"\r\n\r\n") + 4 if what == "body" else 20
+            client.send(whole[:head])
+            for place in range(head, len(whole)):
+                client.send(whole[place : place + 1])
+                await asyncio.sleep(0.005)
+                caller.look_after(now_us())
+                if caller.stage is not calling.Stage.OPEN:
+                    break
+            assert place < len(whole) - 1
+            assert (await client.answer()).startswith(b"HTTP/1.1 408 ")
+            assert sidecar.host.serial == 0
+
+    run(test())
