Take no answer that comes before its request has left

From the reading of late second answers: one that arrives while the next request, a large one, is still being written was taken as its answer, though endpoints begin with the last byte. It is a broken attempt that never ran now, passed on or kept. Test: fails without the change.

--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -183,7 +183,9 @@
             return
         if self.lost:
             return
-        if self._response is not None:
+        if self._response is not None and self._response.status == 200 and not self.written:
+            self.fail()  # an endpoint begins with the last byte: this answers an earlier request
+        elif self._response is not None:
             self._complete(self._response)
         elif self._body and self._hold is None and self._framing and self._framing.length is None:
             self._hold = asyncio.get_running_loop().call_later(HOLD_S, self._pass_on_slow)
@@ -273,7 +275,9 @@
             self.fail()
 
     def _begin(self) -> bool:
-        """Pass on what has come; the rest follows as it comes."""
+        """Pass on what has come; the rest follows as it comes. Not before the request has left: see above."""
+        if not self.written:
+            return False
         head = self._whole()
         receiver = self.owner.on_large(self, head._replace(body=b""))
         if receiver is None or self.lost:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -862,3 +862,24 @@
             assert sidecar.host.serial == 0
 
     run(test())
+
+
+@pytest.mark.parametrize("length", ["Content-Length: 4", "Content-Length: 200000"])
+def test_answer_that_comes_before_the_request_has_left_is_none(length: str) -> None:
+    """An endpoint begins with the last byte, so this is a late second answer to the request before."""
+
+    async def test() -> None:
+        listener = Listener()
+        ends = Ends()
+        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        ends.send(b"x" * (16 << 20))  # more than the kernels hold between them
+        peer = await listener.accept()
+        await peer.read(16)
+        peer.send(f"HTTP/1.1 200 OK\r\n{length}\r\n\r\n".encode() + b"y" * 4)
+        if length.endswith("200000"):
+            with contextlib.suppress(BlockingIOError):
+                peer.send(b"y" * 199_996)
+        assert await ends.outcomes.get() is Outcome.CONNECT_FAILED  # it never ran
+        assert ends.upstream.open == 0
+
+    run(test())
