--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -136,7 +136,7 @@
 
 UNANSWERED = frozenset((Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED))
 ANSWERED = frozenset((Outcome.OK, Outcome.ERROR, Outcome.FULL))
-NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 SWEEP, ASK = "sweep", "ask"
 
 
@@ -1085,7 +1085,7 @@
 
     def _judge(self, now: int, call: Call, made: Attempt, spent: int, outcome: Outcome, mute: bool) -> None:
         """Learn from an outcome: the endpoint's health, the ratio, the cap and the tenant's bill."""
-        if outcome is Outcome.MOOT or outcome is Outcome.CANCELLED:
+        if outcome is Outcome.NOT_SENT or outcome is Outcome.CANCELLED:
             return
         e, sent, pool, _, noted = made
         ok = outcome is Outcome.OK
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -39,7 +39,7 @@
     CONNECT_FAILED = 50
     RESET = 60
     CANCELLED = 70
-    MOOT = 80
+    NOT_SENT = 80
 
 
 class Ring(IntEnum):
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -327,7 +327,7 @@
         spent = request.upload is not None and (request.upload.begun or request.upload.given_up)
         spent = spent or attempt.number >= self.settings.limits.max_attempts
         if request.answered or spent or request.caller.left_unread():
-            asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
+            asyncio.get_running_loop().call_soon(attempt.end, Outcome.NOT_SENT)
             return
         if request.whole:
             self._limit(request, attempt)
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -387,7 +387,7 @@
 
     def _missed(self) -> None:
         if not self.ran:
-            self.drop(Outcome.MOOT)
+            self.drop(Outcome.NOT_SENT)
 
     def drop(self, outcome: Outcome) -> None:
         """Stop waiting: closing the connection keeps the late answer from any other request."""
@@ -621,7 +621,7 @@
         data = None if missed else attempt.data(attempt, now)
         if data is None:
             pool.rest(connection)
-            asyncio.get_running_loop().call_soon(attempt.end, Outcome.MOOT)
+            asyncio.get_running_loop().call_soon(attempt.end, Outcome.NOT_SENT)
             return
         connection.attempt = attempt
         attempt.connection = connection
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -548,7 +548,7 @@
         attempt = ends.send(b"x" * (16 << 20))  # more than the kernels hold between them
         attempt.leave_in_time(now_us() + 200_000)
         peer = await listener.accept()
-        assert await ends.outcomes.get() is Outcome.MOOT
+        assert await ends.outcomes.get() is Outcome.NOT_SENT
         came = 0
         with contextlib.suppress(ConnectionResetError):
             while data := await peer.read(1 << 20):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -159,7 +159,7 @@
 
 
 @pytest.mark.parametrize("grade", ["look", "hold", "pay"])
-@pytest.mark.parametrize("outcome", [o for o in Outcome if o not in (Outcome.OK, Outcome.MOOT)])
+@pytest.mark.parametrize("outcome", [o for o in Outcome if o not in (Outcome.OK, Outcome.NOT_SENT)])
 def test_after_each_outcome_the_next_step_is_legal(grade: str, outcome: Outcome) -> None:
     host = Host(entries=endpoints(8))
     call = host.order(grade)
