--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -617,7 +617,7 @@
         self.copies: deque[tuple[int, Call]] = deque()  # when a second copy of the call falls due
         self.ask_wait, self.asking = ASK_BACKOFF_US, False
         if s.discovery is Discovery.ASK:
-            self.actions.tail(True)
+            self.actions.watch(True)
 
     def discovery(self, now_us: int, form: ListForm, entries: Sequence[Endpoint]) -> None:
         if form is ListForm.FAILED:
@@ -723,7 +723,7 @@
     def wake(self, now_us: int, mark: str) -> None:
         if mark == ASK:
             self.asking = False
-            self.actions.tail(True)
+            self.actions.watch(True)
         elif mark == SWEEP and now_us >= self.sweep_at >= 0:
             self.sweep_at = -1
             self._sweep(now_us)
@@ -1015,7 +1015,7 @@
         if not e.in_flight:
             step = self.idle.step(now - e.used) if e.used else IDLE_STEPS
             if self.idle.dead(step, self.random.random()):
-                self.actions.disconnect(e.id)
+                self.actions.close_idle(e.id)
                 step = IDLE_STEPS
         call.attempts.append(Attempt(e, now, pool, step))
         e.used = now
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -258,10 +258,10 @@
     def timer(self, delay_us: int, mark: str) -> None:
         """Ask for `wake` with this mark."""
 
-    def tail(self, on: bool) -> None:
+    def watch(self, on: bool) -> None:
         """Subscribe to discovery, or end that."""
 
-    def disconnect(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str) -> None:
         """Close this instance's idle connections to the endpoint."""
 
     def write_log(self, text: str, **fields: str | int | float) -> None:
--- a/eiderhub/sidecar/host.py
+++ b/eiderhub/sidecar/host.py
@@ -357,10 +357,10 @@
     def timer(self, delay_us: int, mark: str) -> None:
         Alarm(now_us() + delay_us, partial(self._tell, self.balancer.wake, mark))
 
-    def tail(self, on: bool) -> None:
+    def watch(self, on: bool) -> None:
         self.watcher.turn(on)
 
-    def disconnect(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str) -> None:
         self.upstream.close_idle(endpoint)
 
     def write_log(self, text: str, **fields: str | int | float) -> None:
--- a/eiderhub/wirehost.py
+++ b/eiderhub/wirehost.py
@@ -54,10 +54,10 @@
     def timer(self, delay_us: int, mark: str) -> None:
         self.out.append(f"timer {self.name} {delay_us} {mark}")
 
-    def tail(self, on: bool) -> None:
+    def watch(self, on: bool) -> None:
         self.out.append(f"tail {self.name} {int(on)}")
 
-    def disconnect(self, endpoint: str) -> None:
+    def close_idle(self, endpoint: str) -> None:
         self.out.append(f"disconnect {self.name} {endpoint}")
 
     def write_log(self, text: str, **fields: str | int | float) -> None:
--- a/tests/sidecar_support.py
+++ b/tests/sidecar_support.py
@@ -233,7 +233,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        self.host.tail(False)
+        self.host.watch(False)
         self.sweep.cancel()
         self.server.listener.close()
         for fake in (self.discovery, *self.endpoints):
--- a/tests/support.py
+++ b/tests/support.py
@@ -85,11 +85,11 @@
     def timer(self, delay_us: int, mark: str) -> None:
         self.timers.append((self.now + delay_us, mark))
 
-    def tail(self, on: bool) -> None:
-        self.did.append(("tail", on))
+    def watch(self, on: bool) -> None:
+        self.did.append(("watch", on))
 
-    def disconnect(self, endpoint: str) -> None:
-        self.did.append(("disconnect", endpoint))
+    def close_idle(self, endpoint: str) -> None:
+        self.did.append(("close_idle", endpoint))
 
     def write_log(self, text: str, **fields: str | int | float) -> None:
         self.did.append(("write_log", text, fields))
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -304,7 +304,7 @@
         if not host.sends(call):
             continue
         where = host.sent[call][0]
-        fresh = ("disconnect", where) in host.did[mark:] or where not in used
+        fresh = ("close_idle", where) in host.did[mark:] or where not in used
         if not fresh and host.now - used[where] > dead_after_us:
             silent += 1
             host.advance(S)
@@ -327,7 +327,7 @@
 def test_connections_that_answer_are_left_open() -> None:
     host = Host(settings(balancers=1), endpoints(4))
     assert play_idle(host, 300, 99 * S) == 0
-    assert not any(d[0] == "disconnect" for d in host.did)
+    assert not any(d[0] == "close_idle" for d in host.did)
 
 
 def test_free_classes_leave_the_endpoints_of_a_bound_class_to_it() -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -46,13 +46,13 @@
     waits = set()
     for seed in range(5):
         host = Host(settings(discovery=Discovery.ASK), endpoints(2), seed=seed)
-        assert host.did == [("tail", True)]
+        assert host.did == [("watch", True)]
         host.balancer.discovery(host.now, ListForm.FAILED, [])
         host.balancer.discovery(host.now, ListForm.FAILED, [])
         first = host.timers[0][0] - host.now
         assert len(host.timers) == 1
         host.advance(2 * S)
-        assert host.did.count(("tail", True)) == 2
+        assert host.did.count(("watch", True)) == 2
         host.balancer.discovery(host.now, ListForm.FAILED, [])
         waits.add(first)
         assert 250 * MS <= first <= 750 * MS
