--- a/eiderhub/emulator/services.py
+++ b/eiderhub/emulator/services.py
@@ -29,7 +29,7 @@
 from eiderhub.registry import calls
 from eiderhub.registry.belief import Verdict
 from eiderhub.registry.client import Line, Refused, Registration, Watch, read
-from eiderhub.registry.records import Entry, Record, Roll
+from eiderhub.registry.records import DiscoveryResponse, Entry, Record
 from eiderhub.registry.settings import Follow
 from eiderhub.world import registry as world
 from eiderhub.world.day import Day, Event, Plan, Post
@@ -86,7 +86,7 @@
 class _Tap:
     """Reads along what one connection to the service carries: calls, and the lists that are answered."""
 
-    def __init__(self, told: Callable[[Roll | None], None]) -> None:
+    def __init__(self, told: Callable[[DiscoveryResponse | None], None]) -> None:
         self._told = told
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
@@ -100,7 +100,11 @@
 
     def on_message_complete(self) -> None:
         body, self._body = b"".join(self._body), []
-        self._told(msgspec.json.decode(body, type=Roll) if self._parser.get_status_code() == 200 else None)
+        self._told(
+            msgspec.json.decode(body, type=DiscoveryResponse)
+            if self._parser.get_status_code() == 200
+            else None
+        )
 
 
 class Services:
@@ -322,13 +326,13 @@
 
         return seen
 
-    def _told(self, post: Post, roll: Roll | None) -> None:
+    def _told(self, post: Post, response: DiscoveryResponse | None) -> None:
         now = self._clock.now_us()
-        if roll is None:
+        if response is None:
             self._judge.told(now, post.name, None)
             return
-        entries = [self._entry(post.tier, entry) for entry in roll.instances]
-        if roll.reset:
+        entries = [self._entry(post.tier, entry) for entry in response.instances]
+        if response.reset:
             named = {entry.id for entry in entries}
             entries += [
                 world.Entry(p.id, p.tier, p.zone, p.kind, p.cell, Readiness.GONE, None)
@@ -337,7 +341,7 @@
             ]
         # Rule 3 is about endpoints that leave. What a service lists wrongly is for the client to see through.
         told = tuple(e for e in entries if e.lifecycle is Readiness.READY or not self._ready(e.id))
-        self._judge.told(now, post.name, world.Listing(roll.generation, False, told))
+        self._judge.told(now, post.name, world.Listing(response.generation, False, told))
 
     def _entry(self, tier: int, entry: Entry) -> world.Entry:
         started_us = self._started.get((entry.instance_id, entry.started_at_ms))
@@ -360,9 +364,9 @@
             msgspec.structs.replace(entry, host_port=self._address_of(entry.instance_id, post.name))
             for entry in entries
         ]
-        roll = Roll(generation=belief.version, reset=True, instances=rows)
+        response = DiscoveryResponse(generation=belief.version, reset=True, instances=rows)
         listing = world.Listing(belief.version, True, tuple(self._entry(post.tier, e) for e in entries))
-        return json.loads(msgspec.json.encode(roll)), listing
+        return json.loads(msgspec.json.encode(response)), listing
 
     # --- the endpoints ---
 
--- a/eiderhub/registry/client.py
+++ b/eiderhub/registry/client.py
@@ -18,7 +18,7 @@
 from eiderhub.interface import Readiness
 from eiderhub.registry import calls, kept
 from eiderhub.registry.belief import Belief, Claim, Pace, Sources, Steering, Verdict
-from eiderhub.registry.records import Entry, Record, Roll
+from eiderhub.registry.records import DiscoveryResponse, Entry, Record
 from eiderhub.registry.settings import Follow, Register
 
 CONNECT_S = 1.0
@@ -124,7 +124,7 @@
     headers = [f"Registry-Branch: {whose}"] if whose else []
     wait_s = wait_ms / 1000 + (PATIENCE_S if wait_ms else CALL_S)
     reply = await line.get(calls.LIST, query, wait_s, *headers)
-    roll = read(reply, Roll)
+    response = read(reply, DiscoveryResponse)
 
     def text(name: bytes) -> str:
         return reply.headers.get(name, b"").decode("latin-1")
@@ -138,10 +138,10 @@
         identity=text(calls.IDENTITY),
         branch=text(calls.BRANCH),
         continues=text(calls.CONTINUES) != "0",
-        version=roll.generation,
-        whole=roll.reset,
-        entries=roll.instances,
-        steering=Steering(roll.regions, tuple(roll.orders)),
+        version=response.generation,
+        whole=response.reset,
+        entries=response.instances,
+        steering=Steering(response.regions, tuple(response.orders)),
     )
     return Answer(claim, number(calls.AGE_MS), number(calls.CALLERS))
 
--- a/eiderhub/registry/records.py
+++ b/eiderhub/registry/records.py
@@ -35,7 +35,7 @@
     until_ms: int  # Unix time
 
 
-class Roll(Struct, rename="camel", frozen=True, kw_only=True, omit_defaults=True):
+class DiscoveryResponse(Struct, rename="camel", frozen=True, kw_only=True, omit_defaults=True):
     """A list in discovery's form: whole, or what has changed. The rest is told whole, where there is any."""
 
     generation: int
--- a/eiderhub/registry/server.py
+++ b/eiderhub/registry/server.py
@@ -22,6 +22,7 @@
 from eiderhub.registry.core import Core, Decision, Refusal, Told, is_ready, listed
 from eiderhub.registry.records import (
     Change,
+    DiscoveryResponse,
     Entry,
     Gone,
     Group,
@@ -30,7 +31,6 @@
     Ordered,
     OrderOver,
     Put,
-    Roll,
     ZoneShare,
     zone_key,
 )
@@ -469,14 +469,14 @@
             entries: list[Entry] = [listed(one, ask.view) for one in span.entries]
             service = ask.group.service
             orders = self.core.orders.of(service)
-            roll = Roll(
+            response = DiscoveryResponse(
                 generation=span.version,
                 reset=span.whole,
                 instances=entries,
                 regions=self.core.regions.get(service, {}),
                 orders=[ZoneShare(zone=o.zone, share=o.share, until_ms=o.until_ms) for o in orders],
             )
-            body = msgspec.json.encode(roll)
+            body = msgspec.json.encode(response)
             if len(self._encoded) >= CACHED:
                 del self._encoded[next(iter(self._encoded))]
             self._encoded[place] = body
--- a/eiderhub/sidecar/config.py
+++ b/eiderhub/sidecar/config.py
@@ -19,7 +19,7 @@
 from eiderhub.registry.names import Name
 from eiderhub.registry.settings import Follow, Register
 from eiderhub.settings import Setup
-from eiderhub.sidecar.discovery import Listing, Roll, readable
+from eiderhub.sidecar.discovery import DiscoveryResponse, Listing, readable
 from eiderhub.sidecar.logs import LINES_PER_S, Form
 
 SOCKETS = 1024  # descriptors, where the configuration states no limit
@@ -57,7 +57,7 @@
     seed: Annotated[str, Meta(pattern=r"^[0-9a-fA-F]*$", description="a hexadecimal number")] | int = ""
     limits: Bounds = Bounds()
     log: Log = Log()
-    known: Roll | None = None  # the list of endpoints as it was last known
+    known: DiscoveryResponse | None = None  # the list of endpoints as it was last known
     registry: Follow | None = None  # the project's own list service, in place of `discovery`
     register: Register | None = None  # the endpoint beside us, with that service
     regions: dict[Name, Annotated[list[Name], Meta(min_length=1)]] = {}  # the zones of each
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -65,7 +65,7 @@
         return Listed(endpoint, host, int(port))
 
 
-class Roll(Struct, frozen=True, kw_only=True):
+class DiscoveryResponse(Struct, frozen=True, kw_only=True):
     """A list in discovery's form."""
 
     generation: int
@@ -78,7 +78,7 @@
         return Listing(self.generation, self.reset, entries, self.unreadable)
 
 
-class Sheet(Struct, frozen=True, kw_only=True):
+class UnreadResponse(Struct, frozen=True, kw_only=True):
     """A list whose entries are still to be read."""
 
     generation: int
@@ -108,9 +108,9 @@
         ValueError: where it is no list; nothing of it may be used then.
     """
     try:
-        return msgspec.json.decode(body, type=Roll).listing()
+        return msgspec.json.decode(body, type=DiscoveryResponse).listing()
     except (ValueError, OverflowError):
-        return _sifted(msgspec.json.decode(body, type=Sheet))
+        return _sifted(msgspec.json.decode(body, type=UnreadResponse))
 
 
 def readable(document: Any) -> bool:
@@ -122,14 +122,14 @@
     return True
 
 
-def _sifted(sheet: Sheet) -> Listing:
+def _sifted(response: UnreadResponse) -> Listing:
     """A list of which some entries can't be read: they cost only themselves.
 
     One whose id can be read gets nothing new, as one that drains: whatever it says, it does not say ready.
     """
     entries: list[Listed] = []
     bad: list[Exception] = []
-    for document in sheet.instances:
+    for document in response.instances:
         try:
             entries.append(msgspec.convert(document, Instance).listed())
         except (ValueError, OverflowError) as error:
@@ -139,11 +139,11 @@
             if isinstance(name, str):
                 told = zone if isinstance(zone, str) else ""
                 entries.append(Listed(Endpoint(name, told, "", -1, Readiness.DRAINING), "", 0))
-    if sheet.reset and bad and len(bad) == len(sheet.instances):
+    if response.reset and bad and len(bad) == len(response.instances):
         raise ValueError(f"no entry can be read: {bad[0]}")
     if bad:
         log.warning("entries of a list can't be read", entries=len(bad), first=str(bad[0]))
-    return Listing(sheet.generation, sheet.reset, entries)
+    return Listing(response.generation, response.reset, entries)
 
 
 class Call:
