Do not stop reading at each piece of a long body

Cause: CallerConnection.flow took what is not parsed yet for a reason to pause, and a body's piece calls flow amid the parsing: reading was paused and resumed with each piece, the time for the body set to 0 and begun anew. Ruled out: the pieces themselves (as one piece: none unreached). Change: only a request that waits pauses; what is unparsed stands for one outside the parsing. Test: a body read in several pieces never pauses; fails without the change.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -223,7 +223,7 @@
     def flow(self) -> None:
         """Read on, or stop reading, as what has come is taken."""
         upload = self._incoming.upload if self._incoming is not None else None
-        pause = bool(self.waiting or self._unfed) or (upload is not None and upload.congested)
+        pause = bool(self.waiting) or (upload is not None and upload.congested)
         if pause == self._paused or self.transport.is_closing():
             return
         self._paused = pause
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -883,3 +883,30 @@
         assert ends.upstream.open == 0
 
     run(test())
+
+
+def test_long_body_that_comes_in_one_read_does_not_stop_the_reading() -> None:
+    """Seen on zone+brink days: each piece paused and resumed, and the time for the body began anew."""
+
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            flow, paused = caller.flow, []
+
+            def noted() -> None:
+                flow()
+                paused.append(caller._paused)
+
+            caller.flow = noted  # type: ignore[method-assign]
+            whole = request(1, "pay", b"x" * (sidecar.server.most_kept + 20_000))
+            client.send(whole[:20_000])  # less than is held for the endpoint
+            await until(lambda: paused and not caller._unfed)
+            assert not any(paused)
+            client.send(whole[20_000:])
+            asked = await sidecar.endpoints[0].next()
+            assert len(asked.message.body) == sidecar.server.most_kept + 20_000
+            asked.reply()
+            assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
+
+    run(test())
