Wait for a connection to settle rather than open another

Cause: with an attempt that found only connections that had just answered opened a new one. Change: the attempt takes the connection that settles soonest and waits for the rest of 5 ms (seen: 0 to 3 ms late); if something comes on it, or it ends, the attempt goes elsewhere. And a connection that is put back unused keeps its age, as its endpoint counts: it was younger each time. Tests: the attempt is given up, or a drain told, while a connection settles; a second answer meanwhile.

--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import select
+from bisect import insort
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple, Protocol, cast
 
 import httptools
@@ -33,7 +35,7 @@
 IDLE_US = 5_000_000  # that time, where it is not told
 # A second answer to the request before may come some milliseconds late, and nothing in it tells whose it is:
 # written to meanwhile, the connection would give it to the next request. Seen up to 3 ms late.
-SETTLE_US = 10_000  # so long a connection rests after an answer
+SETTLE_US = 5_000  # so long a connection rests after an answer
 SWEEP_S = 0.25  # how often idle connections are looked at
 TALLY_EVERY_S = 5.0  # how often the attempts' outcomes are logged
 HOLD_S = 0.05  # an answer of unknown length is passed on as it comes once it has taken so long
@@ -94,7 +96,7 @@
         self.busy = False
         self.written = False  # whether the last byte of the request has left for the kernel
         self.lost = False
-        self.idle_since = 0
+        self.idle_since = 0  # when it came up, or its last answer had come
         self.exchanges = 0  # requests written to it
         self.moved_us = 0  # when something of the answer came, or could have come, last
         self.on_moved: Callable[[], None] | None = None  # told of that, where somebody wants to know
@@ -423,6 +425,10 @@
             self.upstream.open -= 1
         return None
 
+    def reserve(self) -> Connection | None:
+        """The connection that settles soonest, for who will wait for it; `take` has found none settled."""
+        return self.idle.pop(0) if self.idle else None
+
     def close_idle(self, used_before_us: int | None = None) -> None:
         while self.idle and (used_before_us is None or self.idle[0].idle_since < used_before_us):
             self.idle.pop(0).close()
@@ -452,6 +458,7 @@
     def on_response(self, connection: Connection, response: Response, reusable: bool) -> None:
         attempt, connection.attempt = connection.attempt, None
         self.upstream.streams.discard(connection)
+        connection.idle_since = now_us()
         if reusable:
             self.rest(connection)
         else:
@@ -475,9 +482,9 @@
             attempt.end(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
 
     def rest(self, connection: Connection) -> None:
+        """Keep it for later; one that was not used is as old as it was, for its endpoint counts so, too."""
         if self.ready:
-            connection.idle_since = now_us()
-            self.idle.append(connection)
+            insort(self.idle, connection, key=lambda each: each.idle_since)
         else:
             connection.close()
             self.upstream.open -= 1
@@ -569,6 +576,9 @@
         connection = pool.take()
         if connection is not None:
             self._write(attempt, connection, pool)
+        elif (connection := pool.reserve()) is not None:
+            # Danger: opening one in its place pays for a handshake each time that work queues.
+            Alarm(connection.idle_since + SETTLE_US, partial(self._settled, attempt, connection, pool))
         elif self.open < self.most or self._make_room():
             self.open += 1
             self.count("opened")
@@ -607,9 +617,23 @@
             return
         if connection.lost:  # it broke at once; `on_lost` has counted it
             attempt.end(Outcome.CONNECT_FAILED)
-        elif attempt.over:  # given up meanwhile: the handshake is paid, the next attempt may use it
+            return
+        connection.idle_since = now_us()
+        self._use(attempt, connection, pool)
+
+    def _settled(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
+        """The connection that the attempt has waited for may be used, unless something came on it."""
+        if connection.stale() and not connection.lost:
+            connection.fail()
+        if not connection.lost:
+            self._use(attempt, connection, pool)
+        elif not attempt.over:
+            self.send(attempt)
+
+    def _use(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
+        if attempt.over:  # given up meanwhile: the handshake is paid, the next attempt may use it
             pool.rest(connection)
-        elif not pool.ready:  # Rule 3: the drain was told while the connection came up
+        elif not pool.ready:  # Rule 3: the drain was told while the connection came up, or settled
             pool.rest(connection)
             attempt.end(Outcome.CONNECT_FAILED)
         else:
