--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -42,6 +42,18 @@
         host.order()
 
 
+@pytest.mark.parametrize("ask_every_us", [3 * S, 10 * S])
+def test_discovery_that_is_back_is_asked_before_its_changes_count_as_told(ask_every_us: int) -> None:
+    """However long it was down: whoever has not asked for that time counts as told."""
+    rules = replace(settings().rules, ask_every_us=ask_every_us)
+    host = Host(settings(discovery=Discovery.ASK, rules=rules), endpoints(2))
+    for _ in range(20):
+        host.balancer.discovery(host.now, ListForm.FAILED, [])
+        wait = min(due for due, mark in host.timers if mark == "ask") - host.now
+        assert wait <= ask_every_us / 2
+        host.advance(wait)
+
+
 def test_failed_subscription_is_renewed_with_growing_jittered_waits() -> None:
     waits = set()
     for seed in range(5):
