Count a request's time from when it was read, not from when its piece is parsed

Cause: since a pipelined request may wait unparsed, and its time began with the parsing: an answer could come after its caller's time. Change: the time of the read is kept. Test: fails without the change.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -136,6 +136,7 @@
         self._chunked = False  # how that answer is framed
         self._paused = False
         self._unfed = b""  # read, but not parsed yet
+        self._read_us = 0  # when that, or what is parsed, was read
         self._linger: asyncio.TimerHandle | None = None
         self._first = True  # no answer has been given yet
         self.parser = httptools.HttpRequestParser(self)
@@ -154,6 +155,7 @@
         return self._buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        self._read_us = now_us()
         if nbytes <= PIECE and not self._unfed:
             self._feed(memoryview(self._buffer)[:nbytes])
         else:
@@ -350,7 +352,7 @@
         incoming.keep = incoming.keep and not self.parser.should_upgrade()
         if incoming.upload is None:
             incoming.body = b"".join(self._body)
-            incoming.arrived_us = now_us()
+            incoming.arrived_us = self._read_us
             self._accept(incoming)
             return
         incoming.upload.finish()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -948,3 +948,25 @@
             assert (await client.answer()).startswith(b"HTTP/1.1 200 ")
 
     run(test())
+
+
+def test_request_that_waits_unparsed_has_its_time_from_when_it_was_read() -> None:
+    async def test() -> None:
+        async with Sidecar() as sidecar:
+            client = Raw.of(sidecar)
+            (caller,) = await connected(sidecar)
+            client.send(request(1, "pay", b"x" * 3000) + request(2) + request(3, "pay", b"x" * 3000))
+            asked = await sidecar.endpoints[0].next()
+            assert caller._unfed
+            read_us = now_us()
+            for _ in range(2):
+                await asyncio.sleep(0.1)
+                asked.reply()
+                await client.answer()
+                asked = await sidecar.endpoints[0].next()
+                assert caller.current is not None
+                assert caller.current.deadline_us - caller.current.patience_us <= read_us
+            asked.reply()
+            await client.answer()
+
+    run(test())
