--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -441,6 +441,13 @@
         return attempt
 
 
+def facing() -> tuple[Listener, Ends]:
+    """An endpoint, and attempts at it."""
+    listener, ends = Listener(), Ends()
+    ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+    return listener, ends
+
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -542,9 +549,7 @@
 
 def test_repeat_that_its_endpoint_does_not_take_before_the_window_ends_is_called_off() -> None:
     async def test() -> None:
-        listener = Listener()
-        ends = Ends()
-        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        listener, ends = facing()
         attempt = ends.send(b"x" * (16 << 20))  # more than the kernels hold between them
         attempt.leave_in_time(now_us() + 200_000)
         peer = await listener.accept()
@@ -608,9 +613,7 @@
     monkeypatch.setattr(upstream, "SETTLE_US", 100_000)
 
     async def test() -> None:
-        listener = Listener()
-        ends = Ends()
-        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        listener, ends = facing()
         ends.send()
         peer, _ = await listener.asked()
         peer.send(OK)
@@ -643,9 +646,7 @@
     """Half a line, or a second answer: in the kernel, the loop has not come to it."""
 
     async def test() -> None:
-        listener = Listener()
-        ends = Ends()
-        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        listener, ends = facing()
         ends.send()
         peer, _ = await listener.asked()
         peer.send(OK)
@@ -666,9 +667,7 @@
     monkeypatch.setattr(upstream, "SETTLE_US", 60_000_000)
 
     async def test() -> None:
-        listener = Listener()
-        ends = Ends()
-        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        listener, ends = facing()
         for _ in range(2):
             ends.send()
         peers = [(await listener.asked())[0] for _ in range(2)]
@@ -907,9 +906,7 @@
     """An endpoint begins with the last byte, so this is a late second answer to the request before."""
 
     async def test() -> None:
-        listener = Listener()
-        ends = Ends()
-        ends.upstream.place("e", "127.0.0.1", listener.port, 0)
+        listener, ends = facing()
         ends.send(b"x" * (16 << 20))  # more than the kernels hold between them
         peer = await listener.accept()
         await peer.read(16)
