Parse a read in pieces only where it may hold many requests

Cause: a body that is passed on as it comes went on to its endpoint in pieces of 2 KiB, each a write of its own, so that resets met more requests half written. Change: a read is taken in pieces only where more than eight heads may end in it.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -36,7 +36,10 @@
 READ_S = 2.5  # from connecting, or a later request's first byte: TERMS owes an end within 3 s
 BODY_S = 1.5  # after a head that took long, for the body to begin
 BODY_RATE = 48_000  # bytes a second that a body has to keep up: slow clients send 64 kB, with pauses
-PIECE = 2048  # bytes that are parsed at a time: so many small requests at most wait on one connection
+PIECE = 2048  # bytes that are parsed at a time where a read may hold many requests, which then wait
+MOST_HEADS = (
+    8  # fewer are parsed at once. Danger: in pieces, a body would go on to its endpoint in pieces, too
+)
 LINGER_S = 1.0  # how long input is still read after our end, for the caller to see it and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
@@ -156,12 +159,16 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self._read_us = now_us()
-        if nbytes <= PIECE and not self._unfed:
+        if not self._unfed and (nbytes <= PIECE or self._heads(nbytes) <= MOST_HEADS):
             self._feed(memoryview(self._buffer)[:nbytes])
         else:
             self._unfed += memoryview(self._buffer)[:nbytes]
             self._feed_on()
 
+    def _heads(self, nbytes: int) -> int:
+        """How many requests may end their heads in what was read."""
+        return self._buffer.count(b"\n\r\n", 0, nbytes) + self._buffer.count(b"\n\n", 0, nbytes)
+
     def _feed_on(self) -> None:
         """Parse what was read, up to a request that has to wait: parsed, it takes many times the room."""
         while self._unfed and not self.waiting and self.stage in READING:
