Feed the parser nothing from within its own call

A look (log of each end of a connection: 4 unreached, 4 connections shut amid a body that was being thrown away) ties them to one place. Cause: since CallerConnection._finish went on with what was unparsed. A refusal of a long body comes from within the parser (admit, answer, _finish), so the next piece was fed into it amid the one before: malformed HTTP, and the connection ended before the caller had read why. Bodies full of blank lines are parsed in pieces, as they look like many requests. Change: _finish only lets the reading go on; the parsing that is under way takes the rest.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -533,7 +533,7 @@
         if self.stage is Stage.OPEN and self._unread():
             self.stage = Stage.DISCARDING
             self.waiting.clear()
-            self._feed_on()
+            self.flow()  # Danger: no parsing here, for the answer may have come from within the parser
         else:
             self.shut()
 
