Bound the wait for discovery by half of the time that counts as told, not a third

Half of AskEveryUs, and half as much more by draw, is three quarters of it: what the change was for holds, and its test asks for that.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -587,7 +587,7 @@
         self.harmless = any(c.effect is not Effect.AT_MOST_ONCE for c in settings.classes)
         self.copying = settings.limits.second_copies and settings.layer == 0
         # Danger: changes count as told once nobody has asked for so long, and half as much more may be drawn.
-        self.started, self.ask_most = False, min(ASK_MAX_US, settings.rules.ask_every_us // 3 or ASK_MAX_US)
+        self.started, self.ask_most = False, min(ASK_MAX_US, settings.rules.ask_every_us // 2 or ASK_MAX_US)
 
     def start(self, now_us: int) -> None:
         s = self.settings
