Keep a repeat's last moment in its alarm alone, and its tests' first exchange in one place

From reading the change again: the attempt held the same moment twice, as leave_by_us and in the alarm that rings then; two tests spelled out the same first exchange. Behaviour and assertions unchanged.

--- a/eiderhub/sidecar/caller.py
+++ b/eiderhub/sidecar/caller.py
@@ -37,9 +37,8 @@
 BODY_S = 1.5  # after a head that took long, for the body to begin
 BODY_RATE = 48_000  # bytes a second that a body has to keep up: slow clients send 64 kB, with pauses
 PIECE = 2048  # bytes that are parsed at a time where a read may hold many requests, which then wait
-MOST_HEADS = (
-    8  # fewer are parsed at once. Danger: in pieces, a body would go on to its endpoint in pieces, too
-)
+# Fewer are parsed at once. Danger: in pieces, a body would go on to its endpoint in pieces, too.
+MOST_HEADS = 8
 LINGER_S = 1.0  # how long input is still read after our end, for the caller to see it and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 RESET = struct.pack("ii", 1, 0)  # a linger of no time: closing resets the connection
--- a/eiderhub/sidecar/upstream.py
+++ b/eiderhub/sidecar/upstream.py
@@ -339,8 +339,8 @@
     """One try of a request at one endpoint. It ends once; `on_end` is told how."""
 
     __slots__ = (
-        "alarm", "connection", "data", "endpoint", "leave_by_us", "leaving", "number", "on_end", "on_large",
-        "over", "ran", "sent_us", "until_us", "upload", "wait_us",
+        "alarm", "connection", "data", "endpoint", "leaving", "number", "on_end", "on_large", "over", "ran",
+        "sent_us", "until_us", "upload", "wait_us",
     )  # fmt: skip
 
     def __init__(
@@ -360,11 +360,10 @@
         self.upload = upload  # the body, where it is passed on as it comes
         self.wait_us = 0  # how long it may take at the most; 0: as long as the request
         self.until_us = 0  # the end of that; 0: not known yet
-        self.leave_by_us = 0  # when the last byte must have left, or none may; 0: at any time
         self.sent_us = now_us()
         self.connection: Connection | None = None
         self.alarm: Alarm | None = None
-        self.leaving: Alarm | None = None  # rings at `leave_by_us`
+        self.leaving: Alarm | None = None  # by when the last byte must have left, or none may; None: any time
         self.ran = False  # or may have: the last byte has left, and nothing said that it was turned away
         self.over = False
 
@@ -384,7 +383,6 @@
 
     def leave_in_time(self, by_us: int) -> None:
         """Let the last byte leave by then, wherever the connection hangs, or not at all."""
-        self.leave_by_us = by_us
         self.leaving = Alarm(by_us, self._missed)
 
     def _missed(self) -> None:
@@ -641,7 +639,7 @@
 
     def _write(self, attempt: Attempt, connection: Connection, pool: Pool) -> None:
         now = now_us()
-        missed = attempt.leave_by_us and now >= attempt.leave_by_us
+        missed = attempt.leaving is not None and now >= attempt.leaving.due_us
         data = None if missed else attempt.data(attempt, now)
         if data is None:
             pool.rest(connection)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -451,6 +451,16 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
+async def served() -> tuple[Listener, Ends, Raw]:
+    """An endpoint, attempts at it, and its side of the one connection, which has answered one of them."""
+    listener, ends = facing()
+    ends.send()
+    peer, _ = await listener.asked()
+    peer.send(OK)
+    assert await ends.outcomes.get() is Outcome.OK
+    return listener, ends, peer
+
+
 @pytest.mark.parametrize("what", ["address", "start"])
 def test_connection_that_comes_up_to_the_process_before_carries_nothing(what: str) -> None:
     async def test() -> None:
@@ -613,11 +623,7 @@
     monkeypatch.setattr(upstream, "SETTLE_US", 100_000)
 
     async def test() -> None:
-        listener, ends = facing()
-        ends.send()
-        peer, _ = await listener.asked()
-        peer.send(OK)
-        assert await ends.outcomes.get() is Outcome.OK
+        _, ends, peer = await served()
         pool = ends.upstream.pools["e"]
         answered_us = pool.idle[0].idle_since
         attempt = ends.send(b"next")
@@ -646,11 +652,7 @@
     """Half a line, or a second answer: in the kernel, the loop has not come to it."""
 
     async def test() -> None:
-        listener, ends = facing()
-        ends.send()
-        peer, _ = await listener.asked()
-        peer.send(OK)
-        assert await ends.outcomes.get() is Outcome.OK
+        listener, ends, peer = await served()
         await settled()
         peer.send(what.encode())
         ends.send(b"next")  # no turn of the loop lies between
