--- /dev/null
+++ b/eiderhub/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: acceptance, items, results and their positions, scheduling, quota."""
--- /dev/null
+++ b/eiderhub/batch/jobs.py
@@ -0,0 +1,349 @@
+"""The job table of the storage group's primary: jobs, items, results and their positions, and the quota.
+
+Pure: it is told the time of day and what arrives, and says what to write. Bodies and texts stay in the store;
+memory holds what decisions need. A result's position is given when it is written and never changes; it is
+shown to readers once the write is committed.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from collections.abc import Iterable, Iterator
+from enum import Enum
+from typing import NamedTuple, Protocol
+
+import msgspec
+from msgspec import Struct
+
+from eiderhub.batch.messages import ItemKey, Progress, RunItem
+from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.coordination.messages import Write
+
+JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX = "job/", "body/", "result/"
+POSITION_DIGITS = 7
+MOST_ITEMS = 200
+MOST_PAGE = 1_000_000  # bytes of results in one answer
+RETENTION_SLACK_S = 5.0  # clocks of machines differ: an item is given up so much later
+
+
+class BatchTerms(NamedTuple):
+    """What a batch route says of its jobs."""
+
+    route: str
+    window_s: float
+    retention_s: float
+    max_attempts: int
+    max_queued_tokens: float  # 0: no limit
+
+
+class SubmittedItem(Struct):
+    id: str
+    path: str
+    tokens: float
+    headers: dict[str, str] = {}
+    body: str = ""  # base64
+
+
+class Submission(Struct):
+    requests: list[SubmittedItem]
+
+
+class ItemRecord(Struct, array_like=True, frozen=True):
+    id: str
+    tokens: float
+
+
+class JobRecord(Struct, array_like=True):
+    """What is stored of a job, but for its body and results."""
+
+    id: str
+    route: str
+    accepted_at: float  # time of day, seconds
+    window_s: float
+    retention_s: float
+    max_attempts: int
+    items: list[ItemRecord]
+    ended: bool = False
+
+
+class ResultRecord(Struct, frozen=True):
+    id: str
+    state: str
+    text: str
+
+
+class ResultPage(Struct):
+    total: int
+    next_token: int
+    results: list[ResultRecord]
+
+
+class ItemState(Enum):
+    WAITING = "waiting"
+    RUNNING = "running"
+    LISTED = "listed"  # its result has a position
+
+
+class Item:
+    __slots__ = ("errors", "id", "job", "node", "progress", "state", "tokens")
+
+    def __init__(self, job: Job, record: ItemRecord) -> None:
+        self.job = job
+        self.id = record.id
+        self.tokens = record.tokens
+        self.state = ItemState.WAITING
+        self.node = ""  # where it runs
+        self.errors = 0  # answers of 500
+        self.progress: Progress | None = None
+
+    @property
+    def key(self) -> ItemKey:
+        return ItemKey(self.job.record.id, self.id)
+
+
+class Job:
+    def __init__(self, record: JobRecord) -> None:
+        self.record = record
+        self.items = {each.id: Item(self, each) for each in record.items}
+        self.positions = 0  # given out
+        self.visible = 0  # committed
+        self.committed = False
+
+    @property
+    def due_at(self) -> float:
+        return self.record.accepted_at + self.record.window_s
+
+    def waiting(self) -> Iterator[Item]:
+        return (item for item in self.items.values() if item.state is ItemState.WAITING)
+
+
+class Reader(Protocol):
+    """Where bodies and results are read from."""
+
+    def get(self, key: str) -> bytes | None: ...
+
+    def scan(self, prefix: str) -> Iterable[tuple[str, bytes]]: ...
+
+
+def _result_key(job: str, position: int) -> str:
+    return f"{RESULT_PREFIX}{job}/{position:0{POSITION_DIGITS}d}"
+
+
+class JobTable:
+    def __init__(self, reader: Reader) -> None:
+        self._reader = reader
+        self.jobs: dict[str, Job] = {}
+        self._queued: dict[str, float] = {}  # tokens of unfinished items by route
+        self._bodies: dict[str, dict[str, SubmittedItem]] = {}  # of jobs that have items to run
+
+    def load(self) -> None:
+        """Everything from the store; all of it is committed."""
+        self.jobs = {}
+        self._queued = {}
+        self._bodies = {}
+        for _, value in self._reader.scan(JOB_PREFIX):
+            job = Job(msgspec.msgpack.decode(value, type=JobRecord))
+            job.committed = True
+            self.jobs[job.record.id] = job
+            for _, result in self._reader.scan(f"{RESULT_PREFIX}{job.record.id}/"):
+                record = msgspec.msgpack.decode(result, type=ResultRecord)
+                job.items[record.id].state = ItemState.LISTED
+                job.positions += 1
+            job.visible = job.positions
+            self._count(job)
+
+    def _count(self, job: Job) -> None:
+        if job.record.ended:
+            return
+        tokens = sum(i.tokens for i in job.items.values() if i.state is not ItemState.LISTED)
+        self._queued[job.record.route] = self._queued.get(job.record.route, 0.0) + tokens
+
+    def queued(self, route: str) -> float:
+        """Tokens of the route's items that have no result yet."""
+        return self._queued.get(route, 0.0)
+
+    # --- jobs ---
+
+    def submit(self, wall: float, job_id: str, terms: BatchTerms, body: bytes) -> list[Write] | Refusal:
+        """What to write for a new job; nothing where it has been taken before."""
+        if job_id in self.jobs:
+            return []
+        try:
+            submission = msgspec.json.decode(body, type=Submission)
+            for each in submission.requests:
+                base64.b64decode(each.body, validate=True)
+        except (msgspec.DecodeError, binascii.Error) as error:
+            return Refusal(ErrorKind.INVALID, str(error))
+        items = submission.requests
+        if not items or len(items) > MOST_ITEMS or len({i.id for i in items}) != len(items):
+            return Refusal(ErrorKind.INVALID, f"1 to {MOST_ITEMS} requests, each with its own id")
+        tokens = sum(item.tokens for item in items)
+        if 0 < terms.max_queued_tokens < self.queued(terms.route) + tokens:
+            return Refusal(ErrorKind.NO_ROOM, f"{terms.max_queued_tokens:g} tokens may wait")
+        record = JobRecord(
+            job_id, terms.route, wall, terms.window_s, terms.retention_s, terms.max_attempts,
+            [ItemRecord(i.id, i.tokens) for i in items],
+        )  # fmt: skip
+        job = Job(record)
+        self.jobs[job_id] = job
+        self._bodies[job_id] = {item.id: item for item in items}
+        self._count(job)
+        return [
+            Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(record)),
+            Write(BODY_PREFIX + job_id, body),
+        ]
+
+    def accepted(self, job_id: str) -> None:
+        """The job is committed: its items may run."""
+        self.jobs[job_id].committed = True
+
+    def forget(self, job_id: str) -> None:
+        """A job that was not committed."""
+        job = self.jobs.pop(job_id, None)
+        self._bodies.pop(job_id, None)
+        if job is not None:
+            self._release(job, sum(i.tokens for i in job.items.values()))
+
+    def end(self, job_id: str) -> list[Write] | Refusal:
+        """Its client wants no more of it."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return Refusal(ErrorKind.UNKNOWN, "no such job")
+        if job.record.ended:
+            return []
+        unfinished = sum(i.tokens for i in job.items.values() if i.state is not ItemState.LISTED)
+        self._release(job, unfinished)
+        job.record.ended = True
+        self._bodies.pop(job_id, None)
+        return [Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(job.record))]
+
+    def _release(self, job: Job, tokens: float) -> None:
+        route = job.record.route
+        self._queued[route] = max(0.0, self._queued.get(route, 0.0) - tokens)
+
+    # --- results ---
+
+    def finish(self, key: ItemKey, succeeded: bool, text: str) -> list[Write]:
+        """Give an item's result its position; nothing where it has one, or its job is unknown or ended."""
+        job = self.jobs.get(key.job)
+        item = job.items.get(key.item) if job else None
+        if job is None or item is None or item.state is ItemState.LISTED or job.record.ended:
+            return []
+        item.state = ItemState.LISTED
+        item.node = ""
+        item.progress = None
+        self._release(job, item.tokens)
+        record = ResultRecord(item.id, "succeeded" if succeeded else "dead_letter", text)
+        position = job.positions
+        job.positions += 1
+        if job.positions == len(job.items):
+            self._bodies.pop(key.job, None)
+        return [Write(_result_key(key.job, position), msgspec.msgpack.encode(record))]
+
+    def listed(self, job_id: str, positions: int) -> None:
+        """Results before this position are committed."""
+        job = self.jobs[job_id]
+        job.visible = max(job.visible, positions)
+
+    def page(self, job_id: str, start: int) -> ResultPage | Refusal:
+        """Committed results from a position on, as many as fit."""
+        job = self.jobs.get(job_id)
+        if job is None or not job.committed:
+            return Refusal(ErrorKind.UNKNOWN, "no such job")
+        results: list[ResultRecord] = []
+        size = 0
+        for position in range(max(0, start), job.visible):
+            value = self._reader.get(_result_key(job_id, position))
+            if value is None or (results and size + len(value) > MOST_PAGE):
+                break
+            size += len(value)
+            results.append(msgspec.msgpack.decode(value, type=ResultRecord))
+        return ResultPage(len(job.items), start + len(results), results)
+
+    def body(self, job_id: str, item_id: str) -> bytes | Refusal:
+        submitted = self._submitted(job_id).get(item_id)
+        if submitted is None:
+            return Refusal(ErrorKind.UNKNOWN, "no such item")
+        return base64.b64decode(submitted.body)
+
+    def _submitted(self, job_id: str) -> dict[str, SubmittedItem]:
+        found = self._bodies.get(job_id)
+        if found is None:
+            body = self._reader.get(BODY_PREFIX + job_id)
+            if body is None or job_id not in self.jobs:
+                return {}
+            submission = msgspec.json.decode(body, type=Submission)
+            found = {item.id: item for item in submission.requests}
+            job = self.jobs[job_id]
+            if not job.record.ended and job.positions < len(job.items):
+                self._bodies[job_id] = found
+        return found
+
+    # --- items to run ---
+
+    def open_jobs(self) -> list[Job]:
+        """Jobs that have items to run, the one that is due first in front."""
+        jobs = [
+            job
+            for job in self.jobs.values()
+            if job.committed and not job.record.ended and job.positions < len(job.items)
+        ]
+        return sorted(jobs, key=lambda job: job.due_at)
+
+    def start(self, wall: float, item: Item, node: str) -> RunItem:
+        """The item runs at a node from now on."""
+        submitted = self._submitted(item.job.record.id)[item.id]
+        item.state = ItemState.RUNNING
+        item.node = node
+        due_ms = int((item.job.due_at - wall) * 1000)
+        body = base64.b64decode(submitted.body)
+        return RunItem(
+            item.key, item.job.record.route, submitted.path, submitted.headers, body, due_ms, item.progress
+        )
+
+    def announced(self, node: str, key: ItemKey) -> bool:
+        """A node says that it runs the item; whether it should go on."""
+        job = self.jobs.get(key.job)
+        item = job.items.get(key.item) if job else None
+        if job is None or item is None or job.record.ended or item.state is ItemState.LISTED:
+            return False
+        if item.state is ItemState.RUNNING and item.node != node:
+            return False
+        item.state, item.node = ItemState.RUNNING, node
+        return True
+
+    def returned(self, node: str, key: ItemKey, errors: int, progress: Progress | None) -> Item | None:
+        """The node runs the item no more; the item, where it waits again."""
+        job = self.jobs.get(key.job)
+        item = job.items.get(key.item) if job else None
+        if item is None or item.state is not ItemState.RUNNING or item.node != node:
+            return None
+        item.state, item.node = ItemState.WAITING, ""
+        item.errors += errors
+        if progress is not None:
+            item.progress = progress
+        return item
+
+    def lost_node(self, node: str) -> int:
+        """The items that ran at a node wait again; how many."""
+        items = [
+            item
+            for job in self.jobs.values()
+            for item in job.items.values()
+            if item.state is ItemState.RUNNING and item.node == node
+        ]
+        for item in items:
+            item.state, item.node = ItemState.WAITING, ""
+        return len(items)
+
+    def hopeless(self, wall: float, routes: set[str]) -> list[Item]:
+        """Items that end as dead letters: out of attempts or of time, or their route is gone."""
+        found = []
+        for job in self.open_jobs():
+            late = wall > job.record.accepted_at + job.record.retention_s + RETENTION_SLACK_S
+            gone = job.record.route not in routes
+            for item in job.waiting():
+                if late or gone or item.errors >= job.record.max_attempts:
+                    found.append(item)
+        return found
--- /dev/null
+++ b/eiderhub/batch/messages.py
@@ -0,0 +1,114 @@
+"""Messages between edge sidecars and the storage group's primary."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class ItemKey(Struct, array_like=True, frozen=True):
+    job: str
+    item: str
+
+
+class WorkerOpen(Struct, tag=True, frozen=True):
+    """An edge sidecar announces itself, and the items that it runs."""
+
+    node: str
+    zone: str
+    running: list[ItemKey]
+
+
+class WorkerAccepted(Struct, tag=True, frozen=True):
+    epoch: int
+
+
+class Redirect(Struct, tag=True, frozen=True):
+    """Not the primary; `primary` is its identity where it is known."""
+
+    primary: str
+
+
+class Submit(Struct, tag=True, frozen=True):
+    call: int
+    job: str
+    route: str
+    body: bytes  # the job's JSON as it came
+
+
+class ReadResults(Struct, tag=True, frozen=True):
+    call: int
+    job: str
+    start: int
+    wait_ms: int
+
+
+class ReadBody(Struct, tag=True, frozen=True):
+    call: int
+    job: str
+    item: str
+
+
+class EndJob(Struct, tag=True, frozen=True):
+    call: int
+    job: str
+
+
+class Answer(Struct, tag=True, frozen=True):
+    """To a call: an HTTP status and body."""
+
+    call: int
+    status: int
+    body: bytes = b""
+
+
+class Progress(Struct, array_like=True, frozen=True):
+    """What an item has brought so far: the data of its events up to `last_event`."""
+
+    last_event: int
+    texts: list[str]
+
+
+class RunItem(Struct, tag=True, frozen=True):
+    key: ItemKey
+    route: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    due_in_ms: int
+    progress: Progress | None = None
+
+
+class CancelItem(Struct, tag=True, frozen=True):
+    key: ItemKey
+
+
+class ItemFinished(Struct, tag=True, frozen=True):
+    """`succeeded`: the whole text; otherwise no endpoint can ever do the item."""
+
+    key: ItemKey
+    succeeded: bool
+    text: str
+
+
+class ItemStored(Struct, tag=True, frozen=True):
+    """The item's end is committed; the sidecar may forget it."""
+
+    key: ItemKey
+
+
+class ItemReturned(Struct, tag=True, frozen=True):
+    """The sidecar does not run the item any more.
+
+    `refused`: its admission had no room. `errors`: answers of 500 that it has seen for the item.
+    """
+
+    key: ItemKey
+    refused: bool
+    errors: int
+    progress: Progress | None = None
+
+
+BatchMessage = (
+    WorkerOpen | WorkerAccepted | Redirect | Submit | ReadResults | ReadBody | EndJob | Answer
+    | RunItem | CancelItem | ItemFinished | ItemStored | ItemReturned
+)  # fmt: skip
--- /dev/null
+++ b/eiderhub/control/sessions.py
@@ -0,0 +1,37 @@
+"""The session table: which processes there are, by the sessions that they keep with control nodes.
+
+Pure. The primary merges the sessions of its own with those that other control nodes hold and report.
+"""
+
+from __future__ import annotations
+
+from eiderhub.control.messages import NodeRecord
+
+SILENT_S = 1.5  # a session that says nothing for so long has ended
+
+
+class SessionTable:
+    def __init__(self) -> None:
+        self._own: dict[tuple[str, str], tuple[NodeRecord, float]] = {}  # by name and role; time heard
+        self._reported: dict[str, tuple[list[NodeRecord], float]] = {}  # by the control node that reports
+
+    def heard(self, now: float, node: NodeRecord) -> None:
+        self._own[node.name, node.role] = (node, now)
+
+    def report(self, now: float, reporter: str, nodes: list[NodeRecord]) -> None:
+        self._reported[reporter] = (nodes, now)
+
+    def ended(self, node: NodeRecord) -> None:
+        self._own.pop((node.name, node.role), None)
+
+    def own(self, now: float) -> list[NodeRecord]:
+        """The nodes whose sessions end here."""
+        return [node for node, heard in self._own.values() if now - heard < SILENT_S]
+
+    def all(self, now: float) -> list[NodeRecord]:
+        """Every node, in one order."""
+        found = {(n.name, n.role): n for n in self.own(now)}
+        for nodes, heard in self._reported.values():
+            if now - heard < SILENT_S:
+                found.update(((n.name, n.role), n) for n in nodes)
+        return [found[key] for key in sorted(found)]
--- /dev/null
+++ b/eiderhub/coordination/messages.py
@@ -0,0 +1,84 @@
+"""Messages between the replicas of one group, and the state that they carry."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from msgspec import Struct
+
+
+class Position(NamedTuple):
+    """How far a replica's state has come: versions rise by one; the epoch names the primary that wrote it."""
+
+    epoch: int
+    version: int
+
+
+class Write(Struct, array_like=True, frozen=True):
+    """One key's new value; None removes the key."""
+
+    key: str
+    value: bytes | None
+
+
+class Update(Struct, array_like=True, frozen=True):
+    """Writes that take effect together."""
+
+    position: Position
+    writes: list[Write]
+
+
+class Replicate(Struct, tag=True, frozen=True):
+    """Primary to replica: updates that follow `previous`; without any, a heartbeat."""
+
+    epoch: int
+    previous: Position
+    updates: list[Update]
+    committed: int  # version
+    sent_at: float  # primary's clock, in seconds; returned with the answer
+
+
+class InstallSnapshot(Struct, tag=True, frozen=True):
+    """Primary to replica: the whole state at `position`."""
+
+    epoch: int
+    position: Position
+    entries: list[Write]
+    committed: int
+    sent_at: float
+
+
+class Replicated(Struct, tag=True, frozen=True):
+    """Replica to primary: what it has synced. `gap`: the updates did not follow what it has."""
+
+    epoch: int
+    position: Position
+    sent_at: float
+    gap: bool = False
+
+
+class RequestEpoch(Struct, tag=True, frozen=True):
+    """Candidate to witnesses. A trial asks whether the epoch would be granted and changes nothing."""
+
+    epoch: int
+    position: Position
+    trial: bool
+    transfer: bool = False  # the primary itself has asked for it
+
+
+class EpochAnswer(Struct, tag=True, frozen=True):
+    """Witness to candidate."""
+
+    epoch: int  # the one asked for
+    granted: bool
+    trial: bool
+    highest: int  # epoch that the witness knows of
+
+
+class TakeOver(Struct, tag=True, frozen=True):
+    """Primary to the replica that is to follow it."""
+
+    epoch: int
+
+
+ReplicaMessage = Replicate | InstallSnapshot | Replicated | RequestEpoch | EpochAnswer | TakeOver
--- /dev/null
+++ b/eiderhub/dataplane/admission.py
@@ -0,0 +1,459 @@
+"""Admission of one service: carries out what the decisions ask for, and tells them what became of it.
+
+It decides nothing itself but what PROTOCOL bounds: the time a call may take, and the endpoints it may run on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections import deque
+from collections.abc import Sequence
+from typing import Protocol
+
+from eiderhub.balancer import Balancer
+from eiderhub.control.errors import ErrorKind
+from eiderhub.control.messages import EndpointRecord
+from eiderhub.dataplane.engine import EnginePool, Exchange, Headers
+from eiderhub.dataplane.events import Event, EventParser
+from eiderhub.dataplane.routes import Route
+from eiderhub.interface import (
+    Effect,
+    Endpoint,
+    Limits,
+    ListForm,
+    Memory,
+    Outcome,
+    PoolMemory,
+    Readiness,
+    RequestClass,
+    Settings,
+    Tenant,
+)
+
+NO_EVENT = -1
+LOWEST_CREDIT, PRIORITY_STEP = 0.1, 0.35  # worth of a class by its priority, against the highest
+LATE_SHARE = 0.3  # what a late answer is taken to be worth: it is served, if room is left
+MOST_RETRY_AFTER_US = 400_000
+START_SHARE = 0.7  # of an endpoint's places that all sidecars together begin with
+START_MEDIAN = 0.12  # latency as a share of the objective that a new sidecar takes to be usual
+MOST_BALANCERS = 3  # instances of the decisions, after changes of the classes
+MAX_ATTEMPTS = 3  # sends of one call, those that were turned away included
+MOST_BODY = 1 << 20  # of an answer that is no stream
+DEFAULT_TENANT = "default"
+NOT_EXECUTED = b"not-executed"
+
+
+def class_name(route: Route) -> str:
+    """Routes of one name are one class to the decisions."""
+    return f"{route.kind}/{route.priority}/{route.slo_ms:g}/{route.timeout_ms:g}/{route.repeatable:d}"
+
+
+def request_class(route: Route) -> RequestClass:
+    credit = max(LOWEST_CREDIT, 1.0 - PRIORITY_STEP * route.priority)
+    return RequestClass(
+        name=class_name(route),
+        aim_us=max(1, int(route.slo_ms * 1000)),
+        deadline_us=max(1, int(route.timeout_ms * 1000)),
+        effect=Effect.IDEMPOTENT if route.repeatable else Effect.AT_MOST_ONCE,
+        credit=credit,
+        late_share=LATE_SHARE,
+        streaming=route.kind in ("streaming", "batch"),
+    )
+
+
+class Sink(Protocol):
+    """Who wants a call's answer: told of exactly one end."""
+
+    def begin(self, headers: Headers) -> None:
+        """A stream begins; its events follow, then `finish` or `break_off`."""
+
+    def event(self, event: Event) -> None: ...
+
+    def finish(self) -> None: ...
+
+    def break_off(self) -> None: ...
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """An endpoint's own answer that is no stream."""
+
+    def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
+        """None came; NOT_READY: the call has not run and never will."""
+
+
+class Call:
+    """One request that admission owes an end for."""
+
+    __slots__ = (
+        "alarm", "attempts", "balancer", "begun", "current", "due_us", "errors", "exchange", "head", "key",
+        "last_event", "ran", "request_id", "response", "route", "sink", "tenant", "tokens",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        key: str,
+        route: Route,
+        request_id: bytes,
+        head: tuple[bytes, bytes],
+        due_us: int,
+        tenant: str,
+        tokens: tuple[int, int],
+        sink: Sink,
+    ) -> None:
+        self.key = key
+        self.route = route
+        self.request_id = request_id
+        self.head = head  # request line and headers; body
+        self.due_us = due_us
+        self.tenant = tenant
+        self.tokens = tokens  # of the prompt, and the most out
+        self.sink = sink
+        self.balancer: Balancer | None = None
+        self.alarm: asyncio.TimerHandle | None = None
+        self.attempts = 0
+        self.current: Attempt | None = None  # the attempt that is under way
+        self.exchange: Exchange | None = None
+        self.last_event = NO_EVENT
+        self.begun = False
+        self.ran = 0  # attempts that may have run
+        self.errors = 0  # answers of 500
+        self.response: tuple[int, Headers, bytes] | None = None  # an endpoint's failure, to be passed on
+
+
+class Attempt:
+    """One send of a call; listens to its exchange."""
+
+    def __init__(self, admission: Admission, call: Call, number: int, endpoint: str, now_us: int) -> None:
+        self._admission = admission
+        self._call = call
+        self.number = number
+        self.endpoint = endpoint
+        self.started_us = now_us
+        self._first_us = 0
+        self._status = 0
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._parser: EventParser | None = None
+        self.over = False
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        named = {name.lower(): value for name, value in headers}
+        if named.get(b"request-id", self._call.request_id) != self._call.request_id:
+            self._broken()  # the answer to another request
+            return
+        self._status, self._headers = status, headers
+        if status == 200 and named.get(b"content-type", b"").startswith(b"text/event-stream"):
+            self._parser = EventParser()
+
+    def on_data(self, data: bytes) -> None:
+        if self.over:
+            return
+        if self._parser is None:
+            self._size += len(data)
+            if self._size > MOST_BODY:
+                self._broken()
+                return
+            self._body.append(data)
+            return
+        for event in self._parser.feed(data):
+            if not self._take(event):
+                self._broken()
+                return
+
+    def _take(self, event: Event) -> bool:
+        call = self._call
+        if call.last_event != NO_EVENT and event.id >= 0 and event.id != call.last_event + 1:
+            return False
+        if event.id >= 0:
+            call.last_event = event.id
+        if not self._first_us:
+            self._first_us = self._admission.now_us()
+        if not call.begun:
+            call.begun = True
+            call.sink.begin(self._headers)
+        call.sink.event(event)
+        return True
+
+    def on_end(self) -> None:
+        if self.over:
+            return
+        named = {name.lower(): value for name, value in self._headers}
+        if self._parser is not None:
+            if self._parser.partial or not self._call.begun:
+                self._broken()
+            else:
+                self._end(Outcome.OK, True)
+        elif NOT_EXECUTED in named:
+            self._end(Outcome.FULL, False)
+        elif self._status == 421:
+            self._end(Outcome.CONNECT_FAILED, False)
+        else:
+            self._answered(b"response-signature" in named)
+
+    def _answered(self, signed: bool) -> None:
+        call = self._call
+        body = b"".join(self._body)
+        if self._status < 300 and (call.begun or not signed):
+            self._broken()
+            return
+        call.response = (self._status, self._headers, body)
+        call.errors += self._status == 500
+        final = self._status < 500
+        self._end(Outcome.OK if final else Outcome.ERROR, True, final)
+
+    def on_lost(self, written: bool) -> None:
+        if not self.over:
+            self._end(Outcome.RESET if written else Outcome.CONNECT_FAILED, written)
+
+    def _broken(self) -> None:
+        exchange = self._call.exchange
+        if exchange is not None:
+            exchange.drop()
+        self.on_lost(True)
+
+    def _end(self, outcome: Outcome, ran: bool, final: bool = True) -> None:
+        self.over = True
+        latency = (self._first_us or self._admission.now_us()) - self.started_us
+        self._admission.attempt_ended(self._call, self, outcome, ran, latency, final)
+
+
+class Admission:
+    """Implements the decisions' `Actions` for one service."""
+
+    def __init__(self, service: str, capacity: int, zone: str, rng: random.Random) -> None:
+        self._service = service
+        self._capacity = capacity
+        self._zone = zone
+        self._rng = rng
+        self._loop = asyncio.get_running_loop()
+        self._calls: dict[str, Call] = {}
+        self._pools: dict[str, EnginePool] = {}
+        self._records: list[EndpointRecord] = []
+        self._classes: dict[str, RequestClass] = {}
+        self._fleet = (0, 1)  # rank, sidecars
+        self._balancer: Balancer | None = None
+        self._balancers: deque[Balancer] = deque(maxlen=MOST_BALANCERS)  # older ones end their calls
+        self.refused = 0
+
+    def now_us(self) -> int:
+        return int(self._loop.time() * 1_000_000)
+
+    @property
+    def busy(self) -> bool:
+        """Whether it owes anybody an end."""
+        return bool(self._calls)
+
+    # --- what is told to it ---
+
+    def follow_routes(self, routes: Sequence[Route], capacity: int) -> None:
+        """The routes that lead here now: new classes need a new instance of the decisions."""
+        self._capacity = capacity
+        classes = {class_name(route): request_class(route) for route in routes}
+        if all(name in self._classes for name in classes):
+            return
+        self._classes |= classes
+        self._rebuild()
+
+    def follow_fleet(self, rank: int, sidecars: int) -> None:
+        if (rank, sidecars) == self._fleet:
+            return
+        self._fleet = (rank, sidecars)
+        if self._balancer is not None:
+            settings = dataclasses.replace(self._balancer.settings, rank=rank, balancers=sidecars)
+            self._balancer.settings = settings
+            self._balancer.discovery(self.now_us(), ListForm.DELTA, [])
+
+    def follow_endpoints(self, records: list[EndpointRecord]) -> None:
+        if records == self._records:
+            return
+        self._records = records
+        known = {record.id: record for record in records}
+        for identity in [i for i in self._pools if i not in known]:
+            self._pools.pop(identity).close()
+        for record in records:
+            if record.id not in self._pools:
+                self._pools[record.id] = EnginePool(record.address)
+        if self._balancer is not None:
+            self._balancer.discovery(self.now_us(), ListForm.FULL, self._entries())
+
+    def _entries(self) -> list[Endpoint]:
+        # One pool for all zones of the region: crossing a zone costs less than an uneven load.
+        return [
+            Endpoint(r.id, self._zone, "", 0, Readiness.READY if r.ready else Readiness.DRAINING)
+            for r in self._records
+        ]
+
+    def _rebuild(self) -> None:
+        rank, sidecars = self._fleet
+        settings = Settings(
+            classes=tuple(self._classes.values()),
+            rank=rank,
+            balancers=sidecars,
+            zone=self._zone,
+            zone_verdicts=False,
+            tenants=(Tenant(DEFAULT_TENANT),),
+            limits=Limits(
+                max_attempts=MAX_ATTEMPTS,
+                max_retry_after_us=MOST_RETRY_AFTER_US,
+                may_cancel=True,
+                retry_after=True,
+            ),
+        )
+        now = self.now_us()
+        old, new = self._balancer, Balancer(settings, self._rng.randrange(1 << 30), self)
+        new.start(now)
+        new.discovery(now, ListForm.FULL, self._entries())
+        if old is not None:
+            new.recall(now, old.learned(now))
+        else:
+            start = PoolMemory(1.0, self._capacity * START_SHARE, START_MEDIAN, START_MEDIAN)
+            new.recall(now, Memory([start] * 3, []))
+        self._balancer = new
+        self._balancers.append(new)
+
+    def order(self, call: Call) -> None:
+        """Take a call; its sink hears of its end, perhaps within this call."""
+        if self._balancer is None:
+            call.sink.refuse(ErrorKind.NOT_READY, MOST_RETRY_AFTER_US)
+            return
+        now = self.now_us()
+        self._calls[call.key] = call
+        call.balancer = self._balancer
+        call.alarm = self._loop.call_later(max(0.0, (call.due_us - now) / 1e6), self._time_out, call)
+        prompt, out = call.tokens
+        hint = prompt * 10 + out * 100
+        self._balancer.order(now, call.key, class_name(call.route), call.tenant, call.due_us - now, hint)
+
+    def abandon(self, call: Call) -> None:
+        """Its client has gone: nobody hears of its end."""
+        if self._close(call):
+            assert call.balancer is not None
+            call.balancer.expired(self.now_us(), call.key)
+            self._drop_attempt(call, Outcome.CANCELLED)
+
+    def _time_out(self, call: Call) -> None:
+        if not self._close(call):
+            return
+        assert call.balancer is not None
+        may_have_run = call.ran > 0 or call.current is not None
+        call.balancer.expired(self.now_us(), call.key)
+        self._drop_attempt(call, Outcome.TIMEOUT)
+        if call.begun:
+            call.sink.break_off()
+        else:
+            call.sink.refuse(ErrorKind.UNCERTAIN if may_have_run else ErrorKind.NOT_READY, 0)
+
+    def _drop_attempt(self, call: Call, outcome: Outcome) -> None:
+        """Nobody waits for the attempt that is under way any more."""
+        attempt, call.current = call.current, None
+        if attempt is None or call.balancer is None:
+            return
+        attempt.over = True
+        if call.exchange is not None:
+            call.exchange.drop()
+        now = self.now_us()
+        spent = now - attempt.started_us
+        call.balancer.reply(now, call.key, attempt.number, attempt.endpoint, spent, True, outcome)
+
+    def _close(self, call: Call) -> bool:
+        """The call has its end; false where it has had one."""
+        if self._calls.pop(call.key, None) is None:
+            return False
+        if call.alarm is not None:
+            call.alarm.cancel()
+        return True
+
+    # --- what an attempt tells ---
+
+    def attempt_ended(
+        self, call: Call, attempt: Attempt, outcome: Outcome, ran: bool, latency_us: int, final: bool
+    ) -> None:
+        balancer = call.balancer
+        assert balancer is not None
+        call.current = None
+        call.ran += ran
+        done = outcome is Outcome.OK
+        if done and self._close(call):
+            if call.begun:
+                call.sink.finish()
+            elif call.response is not None:
+                call.sink.answer(*call.response)
+        spent = ran and call.ran >= call.route.max_attempts
+        if not done and spent and call.key in self._calls:
+            self._give_up(call)
+        open_still = call.key in self._calls
+        balancer.reply(
+            self.now_us(), call.key, attempt.number, attempt.endpoint, latency_us, not open_still, outcome
+        )
+
+    def _give_up(self, call: Call) -> None:
+        """No further attempt is allowed."""
+        if not self._close(call):
+            return
+        if call.begun:
+            call.sink.break_off()
+        elif call.response is not None:
+            call.sink.answer(*call.response)
+        else:
+            call.sink.refuse(ErrorKind.FAILED, 0)
+
+    # --- the decisions' actions ---
+
+    def hand_off(self, call: str, endpoint: str, max_wait_us: int) -> None:
+        made = self._calls.get(call)
+        if made is None:
+            return
+        now = self.now_us()
+        attempt = Attempt(self, made, made.attempts, endpoint, now)
+        made.attempts += 1
+        made.current = attempt
+        pool = self._pools.get(endpoint)
+        if pool is None:
+            self._loop.call_soon(attempt.on_lost, False)
+            return
+        head, body = made.head
+        lines = [head, b"Expect-Instance: %s\r\n" % endpoint.encode()]
+        lines.append(b"Timeout-Ms: %d\r\n" % max(1, (made.due_us - now) // 1000))
+        if made.last_event != NO_EVENT:
+            lines.append(b"Last-Event-Id: %d\r\n" % made.last_event)
+        lines.append(b"\r\n")
+        lines.append(body)
+        made.exchange = pool.ask(b"".join(lines), attempt)
+
+    def cancel(self, call: str, attempt: int) -> None:
+        """Nothing: the exchange of a call that has ended is dropped with it."""
+
+    def shed(self, call: str, wait_us: int) -> None:
+        made = self._calls.get(call)
+        if made is None:
+            return
+        self.refused += 1
+        if made.begun or made.response is not None:
+            self._give_up(made)
+        elif self._close(made):
+            made.sink.refuse(ErrorKind.NOT_READY, wait_us)
+
+    def surrender(self, call: str) -> None:
+        made = self._calls.get(call)
+        if made is not None:
+            self._give_up(made)
+
+    def timer(self, delay_us: int, mark: str) -> None:
+        self._loop.call_later(delay_us / 1e6, self._wake, mark)
+
+    def _wake(self, mark: str) -> None:
+        for balancer in self._balancers:
+            balancer.wake(self.now_us(), mark)
+
+    def watch(self, on: bool) -> None:
+        """Nothing: the list is told by the control plane."""
+
+    def close_idle(self, endpoint: str) -> None:
+        pool = self._pools.get(endpoint)
+        if pool is not None:
+            pool.close_idle()
+
+    def write_log(self, text: str, **fields: str | int | float) -> None:
+        """Nothing in the path of a request; figures are counted instead."""
--- /dev/null
+++ b/eiderhub/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The tier's programs: thin assemblies of the planes' libraries."""
--- /dev/null
+++ b/eiderhub/programs/control.py
@@ -0,0 +1,67 @@
+"""The control program: one replica of the control state, the operator's API, sessions of other processes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import uuid
+from pathlib import Path
+
+import defopt
+import picologging as logging
+
+from eiderhub import address
+from eiderhub.control.messages import NodeRecord
+from eiderhub.programs import starting
+from eiderhub.programs.control_service import ControlService
+from eiderhub.programs.settings import TierSettings
+from eiderhub.storage.store import LmdbStore, StoreUnusable
+from eiderhub.transport.framing import Connection
+from eiderhub.transport.operator_http import OperatorServer
+
+log = logging.getLogger("control")
+
+
+def founding_identity(target: str) -> str:
+    """The identity that a seed has in the group's first start, which all others can tell from its address."""
+    return f"founder@{target}"
+
+
+async def serve(settings: TierSettings, stop: asyncio.Event, reload: asyncio.Event) -> None:
+    own = f"{settings.ip}:{settings.first_port}"
+    seeds = [f"{address.parse(seed).host}:{settings.first_port}" for seed in settings.seeds]
+    founder = settings.bootstrap and own in seeds
+    identity = founding_identity(own) if founder else f"{uuid.uuid4().hex[:10]}@{own}"
+    try:
+        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
+    except StoreUnusable as error:
+        log.error("%s", error)
+        sys.exit(1)
+    node = NodeRecord(settings.node_name, "control", settings.zone, store.identity)
+    log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
+    service = ControlService(settings, store, node)
+    if founder:
+        service.group.replica.bootstrap(founding_identity(seed) for seed in seeds)
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: Connection(service), settings.ip, settings.first_port)
+    host, port = address.parse(settings.control)
+    operator = OperatorServer(host, port, service.handle)
+    await stop.wait()
+    log.info("stops")
+    await service.stop()
+    operator.stop()
+    store.close()
+
+
+def main(*, settings: str | None = None) -> None:
+    """Run a control node.
+
+    :param settings: the settings file, in place of the one that OTTERCLEAT_CONFIG names
+    """
+    random.seed()
+    starting.run(serve, settings)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/eiderhub/programs/edge.py
@@ -0,0 +1,56 @@
+"""The edge program: the sidecar that carries the traffic."""
+
+from __future__ import annotations
+
+import asyncio
+
+import defopt
+import picologging as logging
+
+from eiderhub import address
+from eiderhub.dataplane.frontend import FrontendConnection, ReadinessConnection
+from eiderhub.http1 import ServerConnection
+from eiderhub.programs import starting
+from eiderhub.programs.edge_service import EdgeService
+from eiderhub.programs.settings import TierSettings
+
+LEAST_DRAIN_S = 2.6  # the platform sends no new connections after two missed looks, a second apart
+END_MARGIN_S = 1.2  # before the platform kills what has not stopped
+QUIET_S = 0.3  # a sidecar that drains ends once no request has come for so long
+
+log = logging.getLogger("edge")
+
+
+async def serve(settings: TierSettings, stop: asyncio.Event, reload: asyncio.Event) -> None:
+    service = EdgeService(settings)
+    loop = asyncio.get_running_loop()
+    clients: set[ServerConnection] = set()
+    asking: set[ServerConnection] = set()
+    host, port = address.parse(settings.frontend)
+    await loop.create_server(lambda: FrontendConnection(service, clients), host, port, backlog=512)
+    host, port = address.parse(settings.readiness)
+    await loop.create_server(lambda: ReadinessConnection(service.ready, asking), host, port)
+    log.info("starts")
+    await stop.wait()
+    log.info("drains")
+    began = loop.time()
+    service.drain()
+    while loop.time() - began < settings.grace_s - END_MARGIN_S:
+        await asyncio.sleep(0.05)
+        now = loop.time()
+        waited = now - began > min(LEAST_DRAIN_S, settings.grace_s / 2)
+        if waited and service.quiet and now - service.last_request > QUIET_S:
+            break
+    log.info("ends")
+
+
+def main(*, settings: str | None = None) -> None:
+    """Run an edge sidecar.
+
+    :param settings: the settings file, in place of the one that OTTERCLEAT_CONFIG names
+    """
+    starting.run(serve, settings)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/eiderhub/programs/edge_service.py
@@ -0,0 +1,211 @@
+"""An edge sidecar: routes clients' requests through admission, and batch calls to the storage group."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from urllib.parse import parse_qs, urlsplit
+
+import picologging as logging
+
+from eiderhub import address
+from eiderhub.batch.messages import Answer
+from eiderhub.control.distribution import Tables
+from eiderhub.control.errors import STATUS, ErrorKind
+from eiderhub.control.messages import EndpointRecord, NodeRecord
+from eiderhub.dataplane import routes
+from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
+from eiderhub.dataplane.items import ItemRunner, token_usage
+from eiderhub.dataplane.routes import Route, RouteTable
+from eiderhub.http1 import Exchange
+from eiderhub.programs.settings import TierSettings
+from eiderhub.transport.control_session import ControlSession, control_candidates
+
+LOTS, ITEMS = "/lots/", "/items/"
+MOST_WAIT_MS = 1000  # that a read of results is held
+TIMEOUT_MARGIN_MS = 25  # an answer leaves so long before the time is up
+JSON_HEADER = (b"Content-Type", b"application/json")
+
+log = logging.getLogger("edge")
+
+
+class EdgeService:
+    def __init__(self, settings: TierSettings) -> None:
+        self._settings = settings
+        self._rng = random.Random(f"{settings.node_name} {random.random()}")
+        self._node = NodeRecord(settings.node_name, "edge", settings.zone)
+        self.tables = Tables()
+        self._routes: RouteTable | None = None
+        self._endpoints_version = self.tables.endpoints.version
+        self._admissions: dict[str, Admission] = {}
+        self._serial = itertools.count(1)
+        self.draining = False
+        self.open_requests = 0
+        self.last_request = 0.0
+        self._session = ControlSession(self._node, self.tables, self._control_nodes, self._on_tables)
+        self._runner = ItemRunner(settings.node_name, settings.zone, self, self._storage_nodes)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    # --- the control plane ---
+
+    def _control_nodes(self) -> list[str]:
+        port = self._settings.first_port
+        seeds = [f"{address.parse(s).host}:{port}" for s in self._settings.seeds]
+        return control_candidates(self.tables, seeds, self._settings.zone, self._rng.shuffle)
+
+    def _storage_nodes(self) -> list[str]:
+        found = [
+            node.identity.partition("@")[2]
+            for node in self.tables.nodes.nodes
+            if node.role == "storage" and node.identity
+        ]
+        self._rng.shuffle(found)
+        return found
+
+    def _on_tables(self) -> None:
+        configuration = self.tables.configuration
+        changed = configuration.generation and (
+            self._routes is None or self._routes.generation != configuration.generation
+        )
+        if changed:
+            self._routes = routes.parse(configuration.generation, configuration.document)
+        if self._routes is None:
+            return
+        if changed or self._endpoints_version != self.tables.endpoints.version:
+            self._endpoints_version = self.tables.endpoints.version
+            self._follow_services(self._routes)
+        names = sorted(node.name for node in self.tables.nodes.nodes if node.role == "edge")
+        if self._settings.node_name in names:
+            for admission in self._admissions.values():
+                admission.follow_fleet(names.index(self._settings.node_name), len(names))
+
+    def _follow_services(self, table: RouteTable) -> None:
+        listed: dict[str, list[EndpointRecord]] = {}
+        for record in self.tables.endpoints.endpoints:
+            listed.setdefault(record.service, []).append(record)
+        for service in table.services.values():
+            admission = self._admissions.get(service.name)
+            if admission is None:
+                admission = Admission(service.name, service.capacity, self._settings.zone, self._rng)
+                self._admissions[service.name] = admission
+            admission.follow_endpoints(listed.get(service.name, []))
+            leading = [r for r in table.by_name.values() if any(n == service.name for n, _ in r.services)]
+            admission.follow_routes(leading, service.capacity)
+
+    def ready(self) -> bool:
+        known = self.tables.endpoints.version.epoch > 0 and self.tables.nodes.version.epoch > 0
+        return not self.draining and self._routes is not None and known
+
+    def route_for(self, name: str) -> tuple[Route, Admission] | None:
+        route = self._routes.by_name.get(name) if self._routes else None
+        if route is None:
+            return None
+        admission = self._admissions.get(route.draw_service(self._rng))
+        return (route, admission) if admission is not None else None
+
+    # --- clients ---
+
+    def serve(self, exchange: ClientExchange) -> None:
+        self.last_request = asyncio.get_running_loop().time()
+        if self._routes is None:
+            exchange.refuse(ErrorKind.NOT_READY, 200_000)
+            return
+        target = exchange.url.decode("latin-1")
+        host = exchange.headers.get(b"host", b"").decode("latin-1")
+        path = target.partition("?")[0]
+        if path.startswith((LOTS, ITEMS)):
+            self._start(self._read_batch(exchange, target))
+            return
+        route = self._routes.find(host.partition(":")[0], path)
+        if route is None:
+            exchange.answer(STATUS[ErrorKind.UNKNOWN])
+        elif route.kind == "batch":
+            self._start(self._submit(exchange, route))
+        else:
+            self._pass_on(exchange, route)
+
+    def _start(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _pass_on(self, exchange: ClientExchange, route: Route) -> None:
+        found = self.route_for(route.name)
+        if found is None:
+            exchange.refuse(ErrorKind.NOT_READY, 200_000)
+            return
+        admission = found[1]
+        headers = exchange.headers
+        left_ms = min(_number(headers.get(b"timeout-ms"), route.timeout_ms), route.timeout_ms)
+        due_us = admission.now_us() + int(max(1.0, left_ms - TIMEOUT_MARGIN_MS) * 1000)
+        head = request_head(exchange.method, exchange.url, headers, exchange.body)
+        request_id = headers.get(b"request-id", b"")
+        usage = token_usage(headers.get(b"token-usage", b"").decode("latin-1"))
+        call = Call(
+            f"{next(self._serial)}", route, request_id, (head, exchange.body), due_us,
+            exchange.client, usage, ClientSink(exchange),
+        )  # fmt: skip
+        last = headers.get(b"last-event-id", b"")
+        if last.isdigit():
+            call.last_event = int(last)
+
+        def gone(_: Exchange) -> None:
+            admission.abandon(call)
+
+        exchange.on_gone = gone
+        admission.order(call)
+
+    # --- batch ---
+
+    async def _submit(self, exchange: ClientExchange, route: Route) -> None:
+        job = exchange.headers.get(b"request-id", b"").decode("latin-1")
+        if exchange.method != b"POST" or not job:
+            exchange.answer(STATUS[ErrorKind.INVALID])
+            return
+        self._give(exchange, await self._runner.submit(job, route.name, exchange.body))
+
+    async def _read_batch(self, exchange: ClientExchange, target: str) -> None:
+        parts = urlsplit(target)
+        query = parse_qs(parts.query)
+        job = parts.path.rpartition("/")[2]
+        if parts.path.startswith(ITEMS):
+            answer = await self._runner.body(job, query.get("id", [""])[0])
+        elif exchange.method == b"DELETE":
+            answer = await self._runner.end(job)
+            self._give(exchange, answer)
+            return
+        else:
+            wait_ms = min(MOST_WAIT_MS, _number(exchange.headers.get(b"wait-ms"), 0.0))
+            start = query.get("start_after", ["0"])[0]
+            answer = await self._runner.read(job, int(start) if start.isdigit() else 0, int(wait_ms))
+        if answer.status == STATUS[ErrorKind.UNCERTAIN]:  # a read may simply be asked again
+            answer = Answer(answer.call, STATUS[ErrorKind.NOT_READY])
+        self._give(exchange, answer)
+
+    @staticmethod
+    def _give(exchange: ClientExchange, answer: Answer) -> None:
+        exchange.answer(answer.status, answer.body, JSON_HEADER)
+
+    # --- the end ---
+
+    @property
+    def quiet(self) -> bool:
+        """Whether nothing is owed to anybody."""
+        return (
+            not self._tasks
+            and self._runner.unstored == 0
+            and not any(a.busy for a in self._admissions.values())
+        )
+
+    def drain(self) -> None:
+        self.draining = True
+        self._runner.return_all()
+
+
+def _number(text: bytes | None, default: float) -> float:
+    try:
+        return float(text) if text else default
+    except ValueError:
+        return default
--- /dev/null
+++ b/eiderhub/programs/storage.py
@@ -0,0 +1,52 @@
+"""The storage program: one replica of the batch state."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import uuid
+from pathlib import Path
+
+import defopt
+import picologging as logging
+
+from eiderhub.control.messages import NodeRecord
+from eiderhub.programs import starting
+from eiderhub.programs.settings import TierSettings
+from eiderhub.programs.storage_service import StorageService
+from eiderhub.storage.store import LmdbStore, StoreUnusable
+from eiderhub.transport.framing import Connection
+
+PORT_OFFSET = 1  # from the first free port, which control nodes of the same machine use
+
+log = logging.getLogger("storage")
+
+
+async def serve(settings: TierSettings, stop: asyncio.Event, reload: asyncio.Event) -> None:
+    port = settings.first_port + PORT_OFFSET
+    identity = f"{uuid.uuid4().hex[:10]}@{settings.ip}:{port}"
+    try:
+        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
+    except StoreUnusable as error:
+        log.error("%s", error)
+        sys.exit(1)
+    node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity)
+    log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
+    service = StorageService(settings, store, node)
+    await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
+    await stop.wait()
+    log.info("stops")
+    await service.stop()
+    store.close()
+
+
+def main(*, settings: str | None = None) -> None:
+    """Run a storage node.
+
+    :param settings: the settings file, in place of the one that OTTERCLEAT_CONFIG names
+    """
+    starting.run(serve, settings)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/eiderhub/storage/__init__.py
@@ -0,0 +1,1 @@
+"""State on disk: lmdb environments, their syncs, versions and checks."""
--- /dev/null
+++ b/eiderhub/transport/control_session.py
@@ -0,0 +1,108 @@
+"""A process's session with a control node: kept up, moved when it goes stale, and what it tells applied."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from eiderhub import address
+from eiderhub.control.distribution import Tables
+from eiderhub.control.messages import (
+    ConfigurationUpdate,
+    EndpointsUpdate,
+    NodeRecord,
+    NodesUpdate,
+    SessionOpen,
+    SessionPing,
+    SessionPong,
+)
+from eiderhub.transport.framing import Connection, Message, connect
+
+PING_S = 0.25
+STALE_S = 0.9  # a session that has not been told to be fresh for so long moves to another control node
+RETRY_S = 0.1
+
+
+class ControlSession:
+    """`candidates` gives the addresses of control nodes in the order in which they are to be tried."""
+
+    def __init__(
+        self,
+        node: NodeRecord,
+        tables: Tables,
+        candidates: Callable[[], list[str]],
+        on_update: Callable[[], None],
+        describe: Callable[[SessionPing], SessionPing] = lambda ping: ping,
+    ) -> None:
+        self._node = node
+        self._tables = tables
+        self._candidates = candidates
+        self._on_update = on_update
+        self._describe = describe
+        self._ended = asyncio.Event()
+        self.fresh_at = 0.0  # when a control node said last that it tells what is in force
+        self.connection: Connection | None = None
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def fresh(self) -> bool:
+        return asyncio.get_running_loop().time() - self.fresh_at < STALE_S
+
+    async def _run(self) -> None:
+        while True:
+            for target in self._candidates():
+                host, port = address.parse(target)
+                connection = await connect(self, host, port)
+                if connection is not None:
+                    await self._keep(connection, target)
+            await asyncio.sleep(RETRY_S)
+
+    async def _keep(self, connection: Connection, target: str) -> None:
+        loop = asyncio.get_running_loop()
+        opened = loop.time()
+        self._ended.clear()
+        self.connection = connection
+        connection.send(SessionOpen(self._node))
+        while not connection.closed:
+            connection.send(self._ping())
+            try:
+                async with asyncio.timeout(PING_S):
+                    await self._ended.wait()
+            except TimeoutError:
+                pass
+            if loop.time() - max(self.fresh_at, opened) > STALE_S or target not in self._candidates():
+                connection.close()
+        self.connection = None
+
+    def _ping(self) -> SessionPing:
+        tables = self._tables
+        ping = SessionPing(tables.configuration.generation, tables.endpoints.version, tables.nodes.version)
+        return self._describe(ping)
+
+    def on_message(self, connection: Connection, message: Message) -> None:
+        if connection is not self.connection:
+            return
+        if isinstance(message, SessionPong):
+            if message.fresh:
+                self.fresh_at = asyncio.get_running_loop().time()
+        elif isinstance(message, ConfigurationUpdate | EndpointsUpdate | NodesUpdate):
+            if self._tables.apply(message):
+                self._on_update()
+
+    def on_closed(self, connection: Connection) -> None:
+        if connection is self.connection:
+            self._ended.set()
+
+
+def control_candidates(
+    tables: Tables, seeds: list[str], zone: str, shuffle: Callable[[list[str]], None]
+) -> list[str]:
+    """Addresses of control nodes: those of the own zone first, then the others, then the seeds."""
+    near: list[str] = []
+    far: list[str] = []
+    for node in tables.nodes.nodes:
+        if node.role == "control" and node.identity:
+            (near if node.zone == zone else far).append(node.identity.partition("@")[2])
+    rest = [seed for seed in seeds if seed not in near and seed not in far]
+    shuffle(far)
+    shuffle(rest)
+    return near + far + rest
--- /dev/null
+++ b/eiderhub/transport/operator_http.py
@@ -0,0 +1,73 @@
+"""The operator's API by cheroot: a thread for each call under way, the answers from the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Awaitable, Callable, Iterable
+from concurrent.futures import TimeoutError as FutureTimeout
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from cheroot import wsgi
+
+THREADS = 6
+ANSWER_S = 3.0
+MOST_BODY = 32 << 20
+
+
+class Call(NamedTuple):
+    method: str
+    path: str
+    base: str  # the If-Match header
+    body: bytes
+
+
+class Reply(NamedTuple):
+    status: int
+    body: bytes = b""
+    location: str = ""
+
+
+class OperatorServer:
+    """Serves until `stop`. `handle` runs on the event loop."""
+
+    def __init__(self, host: str, port: int, handle: Callable[[Call], Awaitable[Reply]]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._handle = handle
+        self._server = wsgi.Server(
+            (host, port), self._application, numthreads=THREADS, request_queue_size=128
+        )
+        self._server.prepare()
+        self._thread = threading.Thread(target=self._server.serve, name="operator", daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        self._server.stop()
+
+    def _application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        size = int(environ.get("CONTENT_LENGTH") or 0)
+        if size > MOST_BODY:
+            reply = Reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        else:
+            body = environ["wsgi.input"].read(size) if size else environ["wsgi.input"].read()
+            call = Call(
+                environ["REQUEST_METHOD"], environ["PATH_INFO"], environ.get("HTTP_IF_MATCH", ""), body
+            )
+            reply = self._answer(call)
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(reply.body)))]
+        if reply.location:
+            headers.append(("Location", reply.location))
+        start_response(f"{reply.status} {HTTPStatus(reply.status).phrase}", headers)
+        return [reply.body]
+
+    def _answer(self, call: Call) -> Reply:
+        async def run() -> Reply:
+            return await self._handle(call)
+
+        future = asyncio.run_coroutine_threadsafe(run(), self._loop)
+        try:
+            return future.result(ANSWER_S)
+        except (FutureTimeout, TimeoutError):
+            future.cancel()
+            return Reply(HTTPStatus.GATEWAY_TIMEOUT)
