Pace the starts of batch items, prime the caps with the places told, replicate the session table

Change: admission begins with the engine capacity of the configuration; at most one item an endpoint waits for its first event; session table written to the control state; elections after 0.6 s, and a witness that was started again grants nothing within a lease.

--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -82,6 +82,12 @@
     key: ItemKey
 
 
+class ItemStarted(Struct, tag=True, frozen=True):
+    """Its first event has come: the endpoint has read its prompt."""
+
+    key: ItemKey
+
+
 class ItemFinished(Struct, tag=True, frozen=True):
     """`succeeded`: the whole text; otherwise no endpoint can ever do the item."""
 
@@ -110,5 +116,5 @@
 
 BatchMessage = (
     WorkerOpen | WorkerAccepted | Redirect | Submit | ReadResults | ReadBody | EndJob | Answer
-    | RunItem | CancelItem | ItemFinished | ItemStored | ItemReturned
+    | RunItem | CancelItem | ItemStarted | ItemFinished | ItemStored | ItemReturned
 )  # fmt: skip
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -1,23 +1,29 @@
-"""How many items each sidecar is given: a window that grows with what it finishes and falls when it refuses.
+"""How many items each sidecar is given, and how many endpoints read prompts of items at one moment.
 
-Pure. A refusal of a sidecar's admission says that live traffic leaves no room there.
+Pure. A sidecar's window grows with what it finishes and falls when it refuses: a refusal of its admission
+says that live traffic leaves no room there. Items that have not begun to answer are bounded over all: an
+endpoint that reads many prompts at once pauses every stream that it serves.
 """
 
 from __future__ import annotations
 
+from eiderhub.batch.messages import ItemKey
+
 START_WINDOW, LEAST_WINDOW, MOST_WINDOW = 6.0, 1.0, 64.0
 GROW = 0.5  # per item that was finished while the window was in use
 SHRINK = 0.7  # what a refusal leaves of the window
-PAUSE_S = 0.15  # a sidecar that refused is left alone for so long
+PAUSE_S = 0.1  # a sidecar that refused is left alone for so long
+STARTING_PER_ENDPOINT = 1.0  # items that may wait for their first event, for each endpoint
+STARTING_S = 0.5  # an item that has not begun by then does not count any more
 
 
 class Worker:
     """One sidecar that runs items."""
 
-    def __init__(self, node: str, zone: str) -> None:
+    def __init__(self, node: str, zone: str, window: float) -> None:
         self.node = node
         self.zone = zone
-        self.window = START_WINDOW
+        self.window = window
         self.running = 0
         self.paused_until = 0.0
 
@@ -29,26 +35,49 @@
 class Scheduler:
     def __init__(self) -> None:
         self.workers: dict[str, Worker] = {}
+        self._starting: dict[ItemKey, float] = {}  # when each was given
+        self._endpoints = 1
+        self._places = 0
+
+    def follow(self, endpoints: int, places: int) -> None:
+        """How many endpoints there are, and how many requests all of them work on at once."""
+        self._endpoints = max(1, endpoints)
+        self._places = places
+
+    def _first_window(self) -> float:
+        share = self._places / 2 / max(1, len(self.workers) + 1)
+        return min(MOST_WINDOW, max(START_WINDOW, share))
 
     def join(self, node: str, zone: str, running: int) -> None:
-        worker = self.workers[node] = Worker(node, zone)
+        worker = Worker(node, zone, self._first_window())
         worker.running = running
+        self.workers[node] = worker
 
     def leave(self, node: str) -> None:
         self.workers.pop(node, None)
 
     def choose(self, now: float) -> Worker | None:
-        """The sidecar with the most room; None where none has any."""
+        """The sidecar with the most room; None where none has any, or enough items begin as it is."""
+        for key in [k for k, since in self._starting.items() if now - since > STARTING_S]:
+            del self._starting[key]
+        if len(self._starting) >= STARTING_PER_ENDPOINT * self._endpoints:
+            return None
         best: Worker | None = None
         for worker in self.workers.values():
             if worker.free(now) >= 1.0 and (best is None or worker.free(now) > best.free(now)):
                 best = worker
         return best
 
-    def given(self, worker: Worker) -> None:
+    def given(self, now: float, worker: Worker, key: ItemKey) -> None:
         worker.running += 1
+        self._starting[key] = now
+
+    def started(self, key: ItemKey) -> None:
+        """The item's first event has come."""
+        self._starting.pop(key, None)
 
-    def finished(self, node: str) -> None:
+    def finished(self, node: str, key: ItemKey) -> None:
+        self._starting.pop(key, None)
         worker = self.workers.get(node)
         if worker is None:
             return
@@ -56,7 +85,8 @@
             worker.window = min(MOST_WINDOW, worker.window + GROW)
         worker.running = max(0, worker.running - 1)
 
-    def returned(self, now: float, node: str, refused: bool) -> None:
+    def returned(self, now: float, node: str, key: ItemKey, refused: bool) -> None:
+        self._starting.pop(key, None)
         worker = self.workers.get(node)
         if worker is None:
             return
--- a/eiderhub/control/sessions.py
+++ b/eiderhub/control/sessions.py
@@ -8,6 +8,7 @@
 from eiderhub.control.messages import NodeRecord
 
 SILENT_S = 1.5  # a session that says nothing for so long has ended
+RESTORED = "restored"  # stands for the reporter of what another primary knew
 
 
 class SessionTable:
@@ -21,6 +22,10 @@
     def report(self, now: float, reporter: str, nodes: list[NodeRecord]) -> None:
         self._reported[reporter] = (nodes, now)
 
+    def restore(self, now: float, nodes: list[NodeRecord]) -> None:
+        """What another primary knew: it stands until its nodes would have said something."""
+        self._reported[RESTORED] = (nodes, now)
+
     def ended(self, node: NodeRecord) -> None:
         self._own.pop((node.name, node.role), None)
 
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -44,10 +44,10 @@
 class Timing(NamedTuple):
     """Seconds. The lease must be shorter than the least election wait."""
 
-    heartbeat: float = 0.15
-    lease: float = 0.6
-    election_least: float = 0.8
-    election_spread: float = 0.5
+    heartbeat: float = 0.12
+    lease: float = 0.45
+    election_least: float = 0.6
+    election_spread: float = 0.3
     remove_after: float = 6.0  # a silent member leaves the group after so long
 
 
@@ -118,6 +118,7 @@
         self._random = rng
         self._members = self._read_members()
         self._last_heard = now  # from a primary
+        self._started_at = now
         self._election_at = now + self._wait()
         self._votes: set[str] = set()
         self._trial = False
@@ -343,8 +344,11 @@
     def _on_request(self, now: float, sender: str, message: RequestEpoch) -> None:
         follows = self.primary is not None and now - self._last_heard < self.timing.election_least
         leads = self.role is Role.PRIMARY and now < self._lease_end() and not self._stopped_leading
+        # Before it was started again, this witness may have answered a primary whose lease still runs.
+        settled = now - self._started_at >= self.timing.lease
         granted = (
-            message.epoch > self.epoch
+            settled
+            and message.epoch > self.epoch
             and message.position >= self.position
             and (message.transfer or not (follows or leads))
         )
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -12,6 +12,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+import picologging as logging
+
 from eiderhub.balancer import Balancer
 from eiderhub.control.errors import ErrorKind
 from eiderhub.control.messages import EndpointRecord
@@ -28,6 +30,7 @@
     PoolMemory,
     Readiness,
     RequestClass,
+    Ring,
     Settings,
     Tenant,
 )
@@ -36,7 +39,7 @@
 LOWEST_CREDIT, PRIORITY_STEP = 0.1, 0.35  # worth of a class by its priority, against the highest
 LATE_SHARE = 0.3  # what a late answer is taken to be worth: it is served, if room is left
 MOST_RETRY_AFTER_US = 400_000
-START_SHARE = 0.7  # of an endpoint's places that all sidecars together begin with
+START_SHARE = 1.0  # of an endpoint's places that all sidecars together begin with
 START_MEDIAN = 0.12  # latency as a share of the objective that a new sidecar takes to be usual
 MOST_BALANCERS = 3  # instances of the decisions, after changes of the classes
 MAX_ATTEMPTS = 3  # sends of one call, those that were turned away included
@@ -44,6 +47,8 @@
 DEFAULT_TENANT = "default"
 NOT_EXECUTED = b"not-executed"
 
+log = logging.getLogger("admission")
+
 
 def class_name(route: Route) -> str:
     """Routes of one name are one class to the decisions."""
@@ -233,6 +238,7 @@
         self._records: list[EndpointRecord] = []
         self._classes: dict[str, RequestClass] = {}
         self._fleet = (0, 1)  # rank, sidecars
+        self._primed = False
         self._balancer: Balancer | None = None
         self._balancers: deque[Balancer] = deque(maxlen=MOST_BALANCERS)  # older ones end their calls
         self.refused = 0
@@ -277,6 +283,7 @@
                 self._pools[record.id] = EnginePool(record.address)
         if self._balancer is not None:
             self._balancer.discovery(self.now_us(), ListForm.FULL, self._entries())
+            self._prime()
 
     def _entries(self) -> list[Endpoint]:
         # One pool for all zones of the region: crossing a zone costs less than an uneven load.
@@ -307,11 +314,17 @@
         new.discovery(now, ListForm.FULL, self._entries())
         if old is not None:
             new.recall(now, old.learned(now))
-        else:
-            start = PoolMemory(1.0, self._capacity * START_SHARE, START_MEDIAN, START_MEDIAN)
-            new.recall(now, Memory([start] * 3, []))
         self._balancer = new
         self._balancers.append(new)
+        self._prime()
+
+    def _prime(self) -> None:
+        """Begin with the places that the configuration says the endpoints have, and learn from there."""
+        if self._balancer is None or self._primed or not self._records:
+            return
+        self._primed = True
+        start = PoolMemory(1.0, self._capacity * START_SHARE, START_MEDIAN, START_MEDIAN)
+        self._balancer.recall(self.now_us(), Memory([start] * len(Ring), []))
 
     def order(self, call: Call) -> None:
         """Take a call; its sink hears of its end, perhaps within this call."""
@@ -456,4 +469,6 @@
             pool.close_idle()
 
     def write_log(self, text: str, **fields: str | int | float) -> None:
-        """Nothing in the path of a request; figures are counted instead."""
+        """What bears on calls' fates, every few seconds."""
+        if text == "state":
+            log.info("%s: %s", self._service, ", ".join(f"{k} {v}" for k, v in fields.items()))
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -15,6 +15,7 @@
     ItemFinished,
     ItemKey,
     ItemReturned,
+    ItemStarted,
     ItemStored,
     Progress,
     ReadBody,
@@ -39,7 +40,7 @@
 NEVER_DONE = 422
 SERVER_ERROR = 500
 ITEM_TIME_S = 60.0  # an item's attempt on this sidecar takes no longer
-BATCH_TENANT = "batch"
+BATCH_TENANT = "batch"  # each job has a bucket of its own, as each client has
 
 
 class Router(Protocol):
@@ -55,6 +56,7 @@
         self._runner = runner
         self.key = order.key
         self.texts: list[str] = list(order.progress.texts) if order.progress else []
+        self._started = False
         self.call: Call | None = None
         self.admission: Admission | None = None
         self.finished: ItemFinished | None = None  # until the primary has stored it
@@ -63,6 +65,9 @@
         """Nothing: texts are collected."""
 
     def event(self, event: Event) -> None:
+        if not self._started:
+            self._started = True
+            self._runner.started(self)
         self.texts.append(event.data)
 
     def finish(self) -> None:
@@ -199,10 +204,11 @@
         headers[b"Request-Id"] = order.key.item.encode()
         head = request_head(b"POST", order.path.encode(), headers, order.body)
         due_us = admission.now_us() + int(ITEM_TIME_S * 1e6)
-        call = Call(
-            f"item {order.key.job} {order.key.item}", route, order.key.item.encode(), (head, order.body),
-            due_us, BATCH_TENANT, token_usage(order.headers.get("Token-Usage", "")), item,
-        )  # fmt: skip
+        tenant = f"{BATCH_TENANT} {order.key.job}"
+        tokens = token_usage(order.headers.get("Token-Usage", ""))
+        request_id = order.key.item.encode()
+        name = f"item {order.key.job} {order.key.item}"
+        call = Call(name, route, request_id, (head, order.body), due_us, tenant, tokens, item)
         if order.progress is not None:
             call.last_event = order.progress.last_event
             call.begun = True
@@ -214,6 +220,10 @@
         if item is not None and item.call is not None and item.admission is not None:
             item.admission.abandon(item.call)
 
+    def started(self, item: RunningItem) -> None:
+        if self._connection is not None and self._accepted:
+            self._connection.send(ItemStarted(item.key))
+
     def ended(self, item: RunningItem) -> None:
         if self._connection is not None and self._accepted and item.finished is not None:
             self._connection.send(item.finished)
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -57,6 +57,7 @@
 GROUP_KEY = "storage/group"
 KNOWN_PREFIX = "storage/known/"
 RETIRE_PREFIX = "retire/"
+SESSIONS_KEY = "sessions"
 TRANSFER_WAIT_S = 0.4  # a planned transfer is over by then
 
 log = logging.getLogger("control")
@@ -175,8 +176,17 @@
             self._storage_seen = (0, 0.0, 0.0)
             self._storage_primary = None
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
+            self._restore_sessions()
             self._apply_configuration()
 
+    def _restore_sessions(self) -> None:
+        """Begin with the session table as the last primary replicated it."""
+        value = self._store.get(SESSIONS_KEY)
+        if value is not None:
+            nodes = msgspec.json.decode(value, type=list[NodeRecord])
+            self._table.restore(self._now(), nodes)
+            self._publish_nodes()
+
     def _apply_configuration(self) -> None:
         body = self._store.get(CURRENT_KEY)
         if body is not None:
@@ -194,11 +204,14 @@
             try:
                 if self.group.leads() and self._now() - self._led_since > SETTLE_S:
                     await self._tend_storage()
-                    self._publish_nodes()
+                    if self._publish_nodes():
+                        nodes = msgspec.json.encode(self.tables.nodes.nodes)
+                        await self.group.write([Write(SESSIONS_KEY, nodes)])
             except (NotPrimary, CommitUnknown):
                 pass
 
-    def _publish_nodes(self) -> None:
+    def _publish_nodes(self) -> bool:
+        """Tell the sessions who is there, where that has changed."""
         nodes = self._table.all(self._now())
         if self._node not in nodes:
             nodes = [*nodes, self._node]
@@ -210,6 +223,8 @@
         if (nodes, founded, retirements) != (current.nodes, current.storage_group, current.retirements):
             self.tables.apply(NodesUpdate(self._next_version(), nodes, founded, retirements))
             self._push()
+            return True
+        return False
 
     async def _read_list(self) -> None:
         """The primary alone reads the platform's list."""
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -95,7 +95,7 @@
             admission.follow_routes(leading, service.capacity)
 
     def ready(self) -> bool:
-        known = self.tables.endpoints.version.epoch > 0 and self.tables.nodes.version.epoch > 0
+        known = self.tables.endpoints.version.epoch > 0
         return not self.draining and self._routes is not None and known
 
     def route_for(self, name: str) -> tuple[Route, Admission] | None:
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -17,6 +17,7 @@
     EndJob,
     ItemFinished,
     ItemReturned,
+    ItemStarted,
     ItemStored,
     ReadBody,
     ReadResults,
@@ -102,6 +103,7 @@
             self._routes is None or self._routes.generation != configuration.generation
         ):
             self._routes = routes.parse(configuration.generation, configuration.document)
+        self._follow_endpoints()
         for node in nodes.nodes:
             if node.role == "storage" and node.identity:
                 self.group.know(address_of(node.identity))
@@ -110,6 +112,15 @@
             self.group.replica.bootstrap(founded)
         self.group.retired = {each.identity for each in nodes.retirements}
 
+    def _follow_endpoints(self) -> None:
+        """Count the endpoints that run items: those of the services that batch routes lead to."""
+        if self._routes is None:
+            return
+        batch = [route for route in self._routes.by_name.values() if route.kind == "batch"]
+        services = {name for route in batch for name, _ in route.services}
+        ready = [e for e in self.tables.endpoints.endpoints if e.ready and e.service in services]
+        self._scheduler.follow(len(ready), sum(e.capacity for e in ready))
+
     # --- connections ---
 
     def on_message(self, connection: Connection, message: Message) -> None:
@@ -123,6 +134,9 @@
             connection.send(Redirect(self.group.replica.primary or ""))
         elif isinstance(message, WorkerOpen):
             self._join(connection, message)
+        elif isinstance(message, ItemStarted):
+            self._scheduler.started(message.key)
+            self._dispatch()
         elif isinstance(message, ItemFinished):
             self._start(self._finish(connection, message))
         elif isinstance(message, ItemReturned):
@@ -275,7 +289,7 @@
         for item in self._jobs.jobs[message.job].items.values():
             if item.state is ItemState.RUNNING and item.node in self._connections:
                 self._connections[item.node].send(CancelItem(item.key))
-                self._scheduler.returned(self._now(), item.node, refused=False)
+                self._scheduler.returned(self._now(), item.node, item.key, refused=False)
                 item.state, item.node = ItemState.WAITING, ""
         return Answer(message.call, 200)
 
@@ -286,7 +300,7 @@
         job = self._jobs.jobs.get(message.key.job)
         item = job.items.get(message.key.item) if job else None
         if worker is not None and item is not None and item.node == worker:
-            self._scheduler.finished(worker)
+            self._scheduler.finished(worker, message.key)
         writes = self._jobs.finish(message.key, message.succeeded, message.text)
         if writes and job is not None:
             positions = job.positions
@@ -310,7 +324,7 @@
             return
         item = self._jobs.returned(worker, message.key, message.errors, message.progress)
         if item is not None:
-            self._scheduler.returned(self._now(), worker, message.refused)
+            self._scheduler.returned(self._now(), worker, message.key, message.refused)
 
     async def _dispatch_forever(self) -> None:
         while True:
@@ -332,7 +346,7 @@
                 worker = self._scheduler.choose(now)
                 if worker is None:
                     return
-                self._scheduler.given(worker)
+                self._scheduler.given(now, worker, item.key)
                 self._connections[worker.node].send(self._jobs.start(wall, item, worker.node))
 
     async def _bury(self) -> None:
