--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,191 @@
+"""The job table: acceptance, positions, quota, and what a new primary finds."""
+
+from __future__ import annotations
+
+import base64
+
+import msgspec
+import pytest
+
+from eiderhub.batch.jobs import BatchTerms, ItemState, JobTable, ResultPage
+from eiderhub.batch.messages import ItemKey, Progress
+from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.coordination.messages import Position, Update, Write
+from eiderhub.storage.store import MemoryStore
+
+TERMS = BatchTerms("r", 10.0, 40.0, 3, 100.0)
+WALL = 1_000.0
+
+
+def body_of(*items: str, tokens: float = 10.0) -> bytes:
+    requests = [
+        {"id": i, "path": f"/p/{i}", "tokens": tokens, "body": base64.b64encode(i.encode()).decode()}
+        for i in items
+    ]
+    return msgspec.json.encode({"requests": requests})
+
+
+class Primary:
+    """A job table over a store, with each write committed at once."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.table = JobTable(self.store)
+
+    def commit(self, writes: list[Write] | Refusal) -> None:
+        assert not isinstance(writes, Refusal), writes
+        if writes:
+            self.store.apply([Update(Position(1, self.store.position.version + 1), writes)])
+
+    def submit(self, job: str, *items: str, tokens: float = 10.0) -> None:
+        self.commit(self.table.submit(WALL, job, TERMS, body_of(*items, tokens=tokens)))
+        self.table.accepted(job)
+
+    def finish(self, job: str, item: str, text: str = "t", succeeded: bool = True) -> None:
+        self.commit(self.table.finish(ItemKey(job, item), succeeded, text))
+        self.table.listed(job, self.table.jobs[job].positions)
+
+    def page(self, job: str, start: int = 0) -> ResultPage:
+        page = self.table.page(job, start)
+        assert isinstance(page, ResultPage)
+        return page
+
+    def successor(self) -> JobTable:
+        table = JobTable(self.store)
+        table.load()
+        return table
+
+
+@pytest.fixture
+def primary() -> Primary:
+    return Primary()
+
+
+def test_job_sent_again_is_taken_once(primary: Primary) -> None:
+    primary.submit("j", "a", "b")
+    assert primary.table.submit(WALL, "j", TERMS, body_of("a", "b")) == []
+    assert primary.table.queued("r") == 20.0
+
+
+def test_results_keep_their_positions_and_a_second_end_of_an_item_gets_none(primary: Primary) -> None:
+    primary.submit("j", "a", "b")
+    primary.finish("j", "b", "first")
+    primary.finish("j", "b", "second")
+    primary.finish("j", "a")
+    page = primary.page("j")
+    assert [(r.id, r.text) for r in page.results] == [("b", "first"), ("a", "t")]
+    assert (page.total, page.next_token) == (2, 2)
+
+
+def test_result_is_shown_once_it_is_committed(primary: Primary) -> None:
+    primary.submit("j", "a")
+    writes = primary.table.finish(ItemKey("j", "a"), True, "t")
+    assert primary.page("j").results == []
+    primary.commit(writes)
+    primary.table.listed("j", 1)
+    assert len(primary.page("j").results) == 1
+
+
+def test_new_primary_has_jobs_results_and_quota(primary: Primary) -> None:
+    primary.submit("j", "a", "b", "c")
+    primary.finish("j", "b")
+    table = primary.successor()
+    page = table.page("j", 0)
+    assert isinstance(page, ResultPage)
+    assert [r.id for r in page.results] == ["b"]
+    assert table.queued("r") == 20.0
+    assert {item.id for item in table.open_jobs()[0].waiting()} == {"a", "c"}
+    assert table.body("j", "c") == b"c"
+
+
+def test_quota_refuses_what_does_not_fit_and_results_make_room(primary: Primary) -> None:
+    primary.submit("j", "a", "b", tokens=45.0)
+    primary.submit("k", "c", tokens=10.0)  # fits exactly
+    full = primary.table.submit(WALL, "m", TERMS, body_of("e"))
+    assert isinstance(full, Refusal)
+    assert full.kind is ErrorKind.NO_ROOM
+    primary.finish("j", "a")
+    primary.submit("m", "e")
+
+
+def test_job_that_was_not_committed_leaves_no_trace(primary: Primary) -> None:
+    primary.table.submit(WALL, "j", TERMS, body_of("a"))
+    refused = primary.table.page("j", 0)
+    assert isinstance(refused, Refusal)
+    primary.table.forget("j")
+    assert primary.table.queued("r") == 0.0
+    assert primary.table.open_jobs() == []
+
+
+def test_ended_job_runs_nothing_and_keeps_what_is_listed(primary: Primary) -> None:
+    primary.submit("j", "a", "b")
+    primary.finish("j", "a")
+    primary.commit(primary.table.end("j"))
+    assert primary.table.finish(ItemKey("j", "b"), True, "late") == []
+    assert primary.table.open_jobs() == []
+    assert primary.table.queued("r") == 0.0
+    assert len(primary.page("j").results) == 1
+    assert not primary.table.announced("n", ItemKey("j", "b"))
+    assert primary.table.end("j") == []
+    assert primary.successor().open_jobs() == []
+
+
+def test_item_returned_with_progress_goes_on_from_there(primary: Primary) -> None:
+    primary.submit("j", "a")
+    item = next(primary.table.open_jobs()[0].waiting())
+    primary.table.start(WALL, item, "n1")
+    progress = Progress(4, ["x"] * 5)
+    assert primary.table.returned("n2", item.key, 0, None) is None  # another node's word counts for nothing
+    assert primary.table.returned("n1", item.key, 1, progress) is item
+    assert primary.table.start(WALL, item, "n2").progress == progress
+    assert item.errors == 1
+
+
+def test_items_of_a_lost_node_wait_again(primary: Primary) -> None:
+    primary.submit("j", "a", "b")
+    for item in list(primary.table.open_jobs()[0].waiting()):
+        primary.table.start(WALL, item, "n1" if item.id == "a" else "n2")
+    assert primary.table.lost_node("n1") == 1
+    assert [i.id for i in primary.table.open_jobs()[0].waiting()] == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("wall", "errors", "routes", "dead"),
+    [
+        (WALL + 1, 0, {"r"}, False),
+        (WALL + 1, 2, {"r"}, False),
+        (WALL + 1, 3, {"r"}, True),
+        (WALL + 40.5, 0, {"r"}, False),  # clocks of machines differ
+        (WALL + 60, 0, {"r"}, True),
+        (WALL + 1, 0, set(), True),
+    ],
+)
+def test_dead_letters(primary: Primary, wall: float, errors: int, routes: set[str], dead: bool) -> None:
+    primary.submit("j", "a")
+    item = next(primary.table.open_jobs()[0].waiting())
+    item.errors = errors
+    assert (primary.table.hopeless(wall, routes) == [item]) is dead
+    assert item.state is ItemState.WAITING
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"", b"[]", b'{"requests":[]}', body_of("a", "a"), b'{"requests":[{"id":"a"}]}',
+        b'{"requests":[{"id":"a","path":"/","tokens":1,"body":"*"}]}', body_of(*map(str, range(201))),
+    ],
+)  # fmt: skip
+def test_job_that_cannot_be_read_is_refused(primary: Primary, body: bytes) -> None:
+    refused = primary.table.submit(WALL, "j", TERMS, body)
+    assert isinstance(refused, Refusal)
+    assert refused.kind is ErrorKind.INVALID
+    assert primary.table.queued("r") == 0.0
+
+
+def test_page_is_bounded_and_goes_on_where_it_ended(primary: Primary) -> None:
+    primary.submit("j", "a", "b", "c")
+    for item in "abc":
+        primary.finish("j", item, "x" * 600_000)
+    first = primary.page("j")
+    assert (len(first.results), first.next_token) == (1, 1)
+    assert primary.page("j", 1).results[0].id == "b"
