--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -352,12 +352,14 @@
             and message.position >= self.position
             and (message.transfer or not (follows or leads))
         )
+        if granted:
+            # Danger: where all that are left must grant, two that stand at once undo each other.
+            self._election_at = now + self._wait()
         if granted and not message.trial:
             if self.role is not Role.BACKUP:
                 self._step_down(now)
             self.store.grant(message.epoch)
             self.primary = None
-            self._election_at = now + self._wait()
         self._send(sender, EpochAnswer(message.epoch, granted, message.trial, self.epoch))
 
     def _on_answer(self, now: float, sender: str, message: EpochAnswer) -> None:
