--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -17,6 +17,7 @@
 from eiderhub.balancer import Balancer
 from eiderhub.control.errors import ErrorKind
 from eiderhub.control.messages import EndpointRecord
+from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.engine import EnginePool, Exchange, Headers
 from eiderhub.dataplane.events import Event, EventParser
 from eiderhub.dataplane.routes import Route
@@ -142,6 +143,8 @@
         self._size = 0
         self._parser: EventParser | None = None
         self.over = False
+        self._activity = admission.activity(endpoint)
+        self._activity.sent(call.tokens[0])
 
     def on_head(self, status: int, headers: Headers) -> None:
         named = {name.lower(): value for name, value in headers}
@@ -173,8 +176,12 @@
             return False
         if event.id >= 0:
             call.last_event = event.id
-        if not self._first_us:
-            self._first_us = self._admission.now_us()
+        now = self._admission.now_us()
+        if self._first_us:
+            self._activity.event(now)
+        else:
+            self._first_us = now
+            self._activity.began(now, call.tokens[0])
         if not call.begun:
             call.begun = True
             call.sink.begin(self._headers)
@@ -218,8 +225,13 @@
             exchange.drop()
         self.on_lost(True)
 
+    def left(self) -> None:
+        """The endpoint works on it no more, as far as we know."""
+        self._activity.ended(self._call.tokens[0], self._first_us > 0)
+
     def _end(self, outcome: Outcome, ran: bool, final: bool = True) -> None:
         self.over = True
+        self.left()
         latency = (self._first_us or self._admission.now_us()) - self.started_us
         self._admission.attempt_ended(self._call, self, outcome, ran, latency, final)
 
@@ -235,6 +247,7 @@
         self._loop = asyncio.get_running_loop()
         self._calls: dict[str, Call] = {}
         self._pools: dict[str, EnginePool] = {}
+        self._activities: dict[str, EndpointActivity] = {}
         self._records: list[EndpointRecord] = []
         self._classes: dict[str, RequestClass] = {}
         self._fleet = (0, 1)  # rank, sidecars
@@ -251,6 +264,16 @@
         """Whether it owes anybody an end."""
         return bool(self._calls)
 
+    def activity(self, endpoint: str) -> EndpointActivity:
+        return self._activities.setdefault(endpoint, EndpointActivity())
+
+    def _weigh(self, balancer: Balancer, now: int) -> None:
+        """Have the two draws compare what the endpoints look like now, not only how many calls are out."""
+        for identity, state in balancer.endpoints.items():
+            activity = self._activities.get(identity)
+            if activity is not None:
+                state.weight = (state.in_flight + 1) / activity.load(now)
+
     # --- what is told to it ---
 
     def follow_routes(self, routes: Sequence[Route], capacity: int) -> None:
@@ -278,6 +301,7 @@
         known = {record.id: record for record in records}
         for identity in [i for i in self._pools if i not in known]:
             self._pools.pop(identity).close()
+            self._activities.pop(identity, None)
         for record in records:
             if record.id not in self._pools:
                 self._pools[record.id] = EnginePool(record.address)
@@ -335,6 +359,7 @@
         self._calls[call.key] = call
         call.balancer = self._balancer
         call.alarm = self._loop.call_later(max(0.0, (call.due_us - now) / 1e6), self._time_out, call)
+        self._weigh(self._balancer, now)
         prompt, out = call.tokens
         hint = prompt * 10 + out * 100
         self._balancer.order(now, call.key, class_name(call.route), call.tenant, call.due_us - now, hint)
@@ -364,6 +389,7 @@
         if attempt is None or call.balancer is None:
             return
         attempt.over = True
+        attempt.left()
         if call.exchange is not None:
             call.exchange.drop()
         now = self.now_us()
