Bound the storage group to what the losses need, with the other nodes as spares

Cause: the grown sites have twelve storage nodes; each write went to all of them. Change: a group of 2 x losses + 1 members over as many zones as there are; a member silent for 1.5 s is replaced by a spare.

--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -38,7 +38,6 @@
 NOWHERE = Position(0, 0)
 HISTORY_UPDATES = 512  # recent updates kept in memory for replicas that are a little behind
 TRANSFER_S = 1.5  # a planned transfer is given up after so long
-LEAST_MEMBERS = 3  # silent members are not removed below this: two copies must outlive the loss of one
 
 
 class Timing(NamedTuple):
@@ -48,7 +47,20 @@
     lease: float = 0.45
     election_least: float = 0.6
     election_spread: float = 0.3
-    remove_after: float = 6.0  # a silent member leaves the group after so long
+    replace_after: float = 1.5  # a member that is silent for so long is replaced, where another can be
+    remove_after: float = 6.0  # and leaves the group after so long, where none can
+
+
+def copies_needed(losses: int) -> int:
+    """Members of a group that keeps a majority when so many are lost."""
+    return 2 * losses + 1
+
+
+class GroupSize(NamedTuple):
+    """How many members a group has."""
+
+    target: int | None = None  # live members that are wanted; None: all that want to belong
+    least: int = 3  # no member is removed unless so many live ones remain
 
 
 class Role(Enum):
@@ -106,11 +118,19 @@
     """One replica of a group, its witness included."""
 
     def __init__(
-        self, identity: str, store: ReplicaStore, now: float, rng: random.Random, timing: Timing | None = None
+        self,
+        identity: str,
+        store: ReplicaStore,
+        now: float,
+        rng: random.Random,
+        size: GroupSize | None = None,
+        timing: Timing | None = None,
     ) -> None:
         self.identity = identity
         self.store = store
         self.timing = timing or Timing()
+        self.candidates: list[str] = []  # replicas that want to belong, the one preferred first
+        self._size = size or GroupSize()
         self.outbox: list[Outgoing] = []
         self.role = Role.BACKUP
         self.primary: str | None = None  # of the epoch that this replica follows
@@ -183,22 +203,9 @@
             if self.role is Role.PRIMARY:
                 self._probe(now, identity, peer)
 
-    def invite(self, now: float, identity: str) -> None:
-        """Primary: a replica that wants to belong; it becomes a member once it has caught up."""
-        if identity not in self._members and identity not in self._learners and identity not in self._leaving:
-            self._learners.add(identity)
-            if self.role is Role.PRIMARY:
-                self._peers[identity] = Peer(now)
-                self._probe(now, identity, self._peers[identity])
-
-    def uninvite(self, identity: str) -> None:
-        """A replica that has gone before it became a member."""
-        self._learners.discard(identity)
-
     def expel(self, identity: str) -> None:
         """A member that is to leave: its disk is gone, or it retires."""
         self._leaving.add(identity)
-        self._learners.discard(identity)
 
     def propose(self, now: float, writes: list[Write]) -> Position:
         """Primary: make writes durable here and send them to the others; committed later, or never.
@@ -501,35 +508,61 @@
         settled = self.committed == self.position.version and not self._stopped_leading
         if not settled or now >= self._lease_end():
             return
-        for identity in sorted(self._learners - self._members):
-            peer = self._peers.setdefault(identity, Peer(now))
-            if now - peer.heard > self.timing.remove_after:
-                self._learners.discard(identity)
-                del self._peers[identity]
-            elif (
-                peer.matched
-                and peer.matched.version >= self.committed
-                and now - peer.heard < self.timing.lease
-            ):
-                self._learners.discard(identity)
-                self._set_members(now, self._members | {identity})
+        live = {
+            i for i in self._members - self._leaving if not self._silent(now, i, self.timing.replace_after)
+        }
+        for identity in sorted(self._learners):
+            if self._admit(now, identity):
                 return
-        for identity in sorted(self._members - {self.identity}):
-            peer = self._peers.setdefault(identity, Peer(now))
-            silent = now - peer.heard > self.timing.remove_after
-            rest = self._members - {identity}
-            if (silent and len(rest) >= LEAST_MEMBERS) or (identity in self._leaving and len(rest) >= 2):
-                if all(self.synced(i) for i in rest if i not in self._leaving and not self._silent(now, i)):
-                    self._set_members(now, rest)
-                    if silent or identity in self._leaving:
-                        self._peers.pop(identity, None)
-                    return
-        if self.identity in self._leaving and len(self._members) > 2:
+        if len(live) + len(self._learners) < (self._size.target or len(live) + 1):
+            self._teach(now)
+        if len(live) >= self._size.least and all(self.synced(i) for i in live):
+            self._drop_one(now, live)
+        if self.identity in self._leaving and len(live) >= self._size.least:
             self.transfer(now)
 
-    def _silent(self, now: float, identity: str) -> bool:
-        peer = self._peers.get(identity)
-        return identity != self.identity and (peer is None or now - peer.heard > self.timing.lease)
+    def _teach(self, now: float) -> None:
+        """Have the first of those that want to belong catch up."""
+        for identity in self.candidates:
+            if identity not in self._members | self._learners | self._leaving:
+                self._learners.add(identity)
+                self._peers[identity] = Peer(now)
+                self._probe(now, identity, self._peers[identity])
+                return
+
+    def _admit(self, now: float, identity: str) -> bool:
+        """Make a learner a member once it has all that is committed."""
+        peer = self._peers.setdefault(identity, Peer(now))
+        if (
+            identity in self._members
+            or identity in self._leaving
+            or now - peer.heard > self.timing.replace_after
+        ):
+            self._learners.discard(identity)
+            if identity not in self._members:
+                del self._peers[identity]
+            return False
+        caught_up = peer.matched is not None and peer.matched.version >= self.committed
+        if not caught_up or now - peer.heard >= self.timing.lease:
+            return False
+        self._learners.discard(identity)
+        self._set_members(now, self._members | {identity})
+        return True
+
+    def _drop_one(self, now: float, live: set[str]) -> None:
+        """Remove a member that leaves, or that is silent where enough others are there in its place."""
+        replaced = self._size.target is not None and len(live) >= self._size.target
+        for identity in sorted(self._members - live - {self.identity}):
+            long_gone = self._silent(now, identity, self.timing.remove_after)
+            if identity in self._leaving or replaced or long_gone:
+                self._set_members(now, self._members - {identity})
+                self._peers.pop(identity, None)
+                return
+
+    def _silent(self, now: float, identity: str, for_s: float) -> bool:
+        if identity == self.identity:
+            return False
+        return now - self._peers.setdefault(identity, Peer(now)).heard > for_s
 
     def _set_members(self, now: float, members: frozenset[str]) -> None:
         self.propose(now, [Write(MEMBERS_KEY, msgspec.json.encode(sorted(members)))])
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -40,7 +40,7 @@
     TakeOver,
     Write,
 )
-from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.replication import GroupSize, Replica, copies_needed
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession
@@ -63,6 +63,16 @@
 log = logging.getLogger("control")
 
 
+def spread_over_zones(nodes: list[NodeRecord]) -> list[NodeRecord]:
+    """The nodes in an order that takes one of each zone in turn."""
+    turns: dict[str, int] = {}
+    ranked = []
+    for node in sorted(nodes, key=lambda n: n.name):
+        turns[node.zone] = turns.get(node.zone, 0) + 1
+        ranked.append((turns[node.zone], node.zone, node))
+    return [node for _, _, node in sorted(ranked, key=lambda r: r[:2])]
+
+
 class Session(NamedTuple):
     node: NodeRecord
     subscriber: Subscriber
@@ -83,7 +93,9 @@
         self._sessions: dict[Connection, Session] = {}
         self._replicas: dict[Connection, NodeRecord] = {}
         self._table = SessionTable()
-        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng)
+        self._least = copies_needed(settings.fault_tolerance)
+        size = GroupSize(target=None, least=self._least)
+        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng, size)
         self.group = GroupDriver(replica, node, self._on_change)
         for seed in self._seeds():
             self.group.know(seed)
@@ -289,11 +301,12 @@
         if len(nodes) != count:
             self._storage_seen = (len(nodes), now, first or now)
             return
-        enough = len(nodes) >= 2 * self._settings.fault_tolerance + 1
+        enough = len(nodes) >= self._least
         if nodes and now - since > FOUND_S and (enough or now - first > FOUND_ANYWAY_S):
-            members = msgspec.json.encode(sorted(n.identity for n in nodes))
+            founders = spread_over_zones(nodes)[: self._least]
+            members = msgspec.json.encode(sorted(n.identity for n in founders))
             await self.group.write([Write(GROUP_KEY, members)])
-            log.info("founded the storage group with %d members", len(nodes))
+            log.info("founded the storage group with %d of %d nodes", len(founders), len(nodes))
 
     # --- the operator's API ---
 
@@ -378,7 +391,7 @@
             return Reply(HTTPStatus.NOT_FOUND)
         gone = {record.identity for record in self._retirements().values()} | {identity.decode()}
         left = [n for n in self._storage_nodes() if n.identity not in gone]
-        if len(left) < 2 * self._settings.fault_tolerance + 1:
+        if len(left) < self._least:
             return self._refused(Refusal(ErrorKind.TOO_FEW, f"{len(left)} would remain"))
         record = msgspec.json.encode(RetireRecord(identity.decode(), False))
         try:
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -38,7 +38,7 @@
     RequestEpoch,
     TakeOver,
 )
-from eiderhub.coordination.replication import NOWHERE, Replica
+from eiderhub.coordination.replication import NOWHERE, GroupSize, Replica, copies_needed
 from eiderhub.dataplane import routes
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.settings import TierSettings
@@ -65,7 +65,9 @@
         self._rng = random.Random(node.identity)
         self.tables = Tables()
         self._routes: RouteTable | None = None
-        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng)
+        least = copies_needed(settings.fault_tolerance)
+        size = GroupSize(target=least, least=least)
+        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng, size)
         self.group = GroupDriver(replica, node, self._on_change)
         self._jobs = JobTable(store)
         self._scheduler = Scheduler()
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -80,6 +80,7 @@
         self._on_change = on_change
         self._links: dict[str, Link] = {}  # by address
         self._incoming: dict[str, Connection] = {}  # by identity
+        self._zones = {node.identity: node.zone}
         self._writes: list[Write] = []
         self._waiting: list[asyncio.Future[None]] = []  # for the writes that are not proposed yet
         self._proposed: list[tuple[int, int, asyncio.Future[None]]] = []  # epoch, version
@@ -152,6 +153,7 @@
     def greeted(self, connection: Connection, node: NodeRecord) -> None:
         """Another replica has connected to us."""
         self._incoming[node.identity] = connection
+        self._zones[node.identity] = node.zone
         connection.send(Hello(self.node))
         self.know(address_of(node.identity))
 
@@ -162,7 +164,6 @@
     def lost(self, identity: str, connection: Connection) -> None:
         if self._incoming.get(identity) is connection:
             del self._incoming[identity]
-            self.replica.uninvite(identity)
 
     # --- time ---
 
@@ -185,9 +186,13 @@
         for member in self.replica.members:
             if present.get(address_of(member), member) != member:
                 self.replica.expel(member)  # its disk is gone, and another has taken its place
-        for identity in self._incoming:
-            if identity not in self.retired:
-                self.replica.invite(self.now(), identity)
+        wanting = [i for i in self._incoming if i not in self.retired and i not in self.replica.members]
+        self.replica.candidates = sorted(wanting, key=self._zone_rank)
+
+    def _zone_rank(self, identity: str) -> tuple[bool, str]:
+        """Candidates from zones that have no member come first."""
+        covered = {self._zones.get(member, "") for member in self.replica.members - self.retired}
+        return self._zones.get(identity, "") in covered, identity
 
     def flush(self) -> None:
         """Send what the replica has left to be sent."""
--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from eiderhub.coordination.messages import ReplicaMessage, Update, Write
-from eiderhub.coordination.replication import NOWHERE, Replica, Role, StoreFailed
+from eiderhub.coordination.replication import NOWHERE, GroupSize, Replica, Role, StoreFailed
 from eiderhub.storage.store import MemoryStore
 
 STEP_S = 0.05
@@ -53,6 +53,8 @@
     count: int = 4
     loss: float = 0.02
     repeat: float = 0.01
+    size: GroupSize = field(default_factory=GroupSize)
+    members: int = 4  # that the group begins with
     now: float = 0.0
     acknowledged: list[int] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
@@ -70,13 +72,14 @@
             self.machines[machine.address] = machine
             self.start(machine)
             assert machine.replica is not None
-            machine.replica.bootstrap(names)
+            if i < self.members:
+                machine.replica.bootstrap(names[: self.members])
 
     # --- machines ---
 
     def start(self, machine: Machine) -> None:
         rng = random.Random(self.rng.random())
-        machine.replica = Replica(machine.identity, machine.store, self.now, rng)
+        machine.replica = Replica(machine.identity, machine.store, self.now, rng, self.size)
         machine.frozen_until = 0.0
 
     def stop(self, machine: Machine, for_s: float) -> None:
@@ -172,9 +175,8 @@
             for member in replica.members:
                 if present.get(member.partition("@")[2], member) != member:
                     replica.expel(member)
-            for identity in present.values():
-                if identity != machine.identity:
-                    replica.invite(self.now, identity)
+            wanting = set(present.values()) - replica.members
+            replica.candidates = sorted(wanting)
 
     def step(self) -> None:
         self.now += STEP_S
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -16,7 +16,7 @@
     Update,
     Write,
 )
-from eiderhub.coordination.replication import Replica, Role, Timing
+from eiderhub.coordination.replication import GroupSize, Replica, Role, Timing
 from eiderhub.storage.store import MemoryStore
 from tests.replication_support import World
 
@@ -24,21 +24,26 @@
 RECOVERY_S = 6.0
 
 
-def play(seed: int) -> World:
-    world = World(seed)
+def world_of(seed: int) -> World:
+    """Every other schedule has a group of three members and one spare replica."""
+    if seed % 8 >= 4:
+        return World(seed, size=GroupSize(3, 3), members=3)
+    return World(seed)
+
+
+def play(world: World) -> None:
     world.run(2.0)
     for _ in range(4):
         world.fault()
         world.run(RECOVERY_S)
-    return world
 
 
 @pytest.mark.parametrize("block", range(4))
 def test_acknowledged_writes_outlive_trouble_and_one_replica_leads(block: int) -> None:
     for seed in range(block, SCHEDULES, 4):
-        world = World(seed)
+        world = world_of(seed)
         try:
-            world = play(seed)
+            play(world)
         except AssertionError as error:
             raise AssertionError(f"seed {seed}: {error}; {world.faults}") from error
         assert world.acknowledged, f"seed {seed}: nothing was ever acknowledged"
@@ -61,7 +66,7 @@
 
 
 def founded(identity: str, members: list[str], now: float = 0.0) -> Replica:
-    replica = Replica(identity, MemoryStore(), now, random.Random(1), Timing())
+    replica = Replica(identity, MemoryStore(), now, random.Random(1), timing=Timing())
     replica.bootstrap(members)
     return replica
 
