--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -13,7 +13,6 @@
 from importlib.resources import files
 from typing import Any, NamedTuple
 
-import jsonschema
 from result import Err, Ok, Result
 
 from eiderhub.control.errors import ErrorKind, Refusal
@@ -50,8 +49,15 @@
     return Err(Refusal(ErrorKind.INVALID, why))
 
 
+def _depth(error: Any) -> int:
+    """The fault that is nearest to the document's top says most."""
+    return len(error.absolute_path)
+
+
 @lru_cache(maxsize=1)
 def _validator() -> Any:
+    import jsonschema  # only the primary needs it, some time after its start
+
     schema = json.loads(files("eiderhub.control").joinpath("configuration.schema.json").read_text())
     return jsonschema.Draft202012Validator(schema)
 
@@ -81,7 +87,7 @@
 
 def check(document: Document) -> Result[Document, Refusal]:
     """Whether a whole configuration is valid, by PROTOCOL."""
-    error = jsonschema.exceptions.best_match(_validator().iter_errors(document))
+    error = next(iter(sorted(_validator().iter_errors(document), key=_depth)), None)
     if error is not None:
         return _invalid(f"{error.json_path}: {error.message}"[:300])
     for kind in LISTS:
--- a/eiderhub/control/platform.py
+++ b/eiderhub/control/platform.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
-import urllib3
 
 from eiderhub.control.messages import EndpointRecord
 
@@ -31,8 +32,7 @@
 class PlatformReader:
     def __init__(self, target: str) -> None:
         self._base = f"http://{target}/instances"
-        timeout = urllib3.Timeout(connect=READ_S, read=READ_S)
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, timeout=timeout, retries=False)
+        self._pool: Any = None
         self._decode = msgspec.json.Decoder(Page).decode
 
     def read(self) -> list[EndpointRecord]:
@@ -41,6 +41,11 @@
         Raises:
             PlatformUnavailable: a page did not come.
         """
+        import urllib3  # only a primary reads the list; the others come up sooner without it
+
+        if self._pool is None:
+            timeout = urllib3.Timeout(connect=READ_S, read=READ_S)
+            self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, timeout=timeout, retries=False)
         found: dict[str, EndpointRecord] = {}
         token: str | None = None
         while True:
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -43,10 +43,10 @@
 class Timing(NamedTuple):
     """Seconds. The lease must be shorter than the least election wait."""
 
-    heartbeat: float = 0.12
-    lease: float = 0.45
-    election_least: float = 0.6
-    election_spread: float = 0.3
+    heartbeat: float = 0.1
+    lease: float = 0.35
+    election_least: float = 0.45
+    election_spread: float = 0.25
     replace_after: float = 1.5  # a member that is silent for so long is replaced, where another can be
     remove_after: float = 6.0  # and leaves the group after so long, where none can
 
--- a/eiderhub/programs/control.py
+++ b/eiderhub/programs/control.py
@@ -8,7 +8,6 @@
 import uuid
 from pathlib import Path
 
-import defopt
 import picologging as logging
 
 from eiderhub import address
@@ -18,7 +17,6 @@
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection
-from eiderhub.transport.operator_http import OperatorServer
 
 log = logging.getLogger("control")
 
@@ -46,6 +44,9 @@
     loop = asyncio.get_running_loop()
     await loop.create_server(lambda: Connection(service), settings.ip, settings.first_port)
     host, port = address.parse(settings.control)
+    # Imported here: the replica takes part in its group meanwhile, and no call is due before it leads.
+    from eiderhub.transport.operator_http import OperatorServer
+
     operator = OperatorServer(host, port, service.handle)
     await stop.wait()
     log.info("stops")
@@ -64,4 +65,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run(main)
+    starting.begin(main)
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -46,7 +46,7 @@
 from eiderhub.transport.control_session import ControlSession
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary, address_of
-from eiderhub.transport.operator_http import Call, Reply
+from eiderhub.transport.operator_calls import Call, Reply
 
 REPLICA_MESSAGES = (Replicate, InstallSnapshot, Replicated, RequestEpoch, EpochAnswer, TakeOver)
 PUBLISH_S = 0.1  # how often the session table is looked at for changes
--- a/eiderhub/programs/edge.py
+++ b/eiderhub/programs/edge.py
@@ -4,7 +4,6 @@
 
 import asyncio
 
-import defopt
 import picologging as logging
 
 from eiderhub import address
@@ -53,4 +52,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run(main)
+    starting.begin(main)
--- a/eiderhub/programs/starting.py
+++ b/eiderhub/programs/starting.py
@@ -17,6 +17,16 @@
 USAGE_STATUS = 2
 
 
+def begin(main: Callable[..., None]) -> None:
+    """Call a program's main function with the words of the command line, where there are any."""
+    if len(sys.argv) == 1:
+        main()
+        return
+    import defopt  # a process that the platform starts has no words, and comes up sooner without it
+
+    defopt.run(main)
+
+
 def set_up_logs(node: str) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter(f"%(created)f {node} %(name)s %(levelname)s %(message)s"))
--- a/eiderhub/programs/storage.py
+++ b/eiderhub/programs/storage.py
@@ -7,7 +7,6 @@
 import uuid
 from pathlib import Path
 
-import defopt
 import picologging as logging
 
 from eiderhub.control.messages import NodeRecord
@@ -49,4 +48,4 @@
 
 
 if __name__ == "__main__":
-    defopt.run(main)
+    starting.begin(main)
--- a/eiderhub/transport/operator_http.py
+++ b/eiderhub/transport/operator_http.py
@@ -7,28 +7,17 @@
 from collections.abc import Awaitable, Callable, Iterable
 from concurrent.futures import TimeoutError as FutureTimeout
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any
 
 from cheroot import wsgi
 
+from eiderhub.transport.operator_calls import Call, Reply
+
 THREADS = 6
 ANSWER_S = 3.0
 MOST_BODY = 32 << 20
 
 
-class Call(NamedTuple):
-    method: str
-    path: str
-    base: str  # the If-Match header
-    body: bytes
-
-
-class Reply(NamedTuple):
-    status: int
-    body: bytes = b""
-    location: str = ""
-
-
 class OperatorServer:
     """Serves until `stop`. `handle` runs on the event loop."""
 
--- /dev/null
+++ b/tests/test_tier.py
@@ -0,0 +1,163 @@
+"""The tier end to end, without a bench: tests/features/tier.feature."""
+
+from __future__ import annotations
+
+import signal
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from tests.tier_support import EVENTS, Program, Tier, document, route, wait_until
+
+scenarios("features/tier.feature")
+
+ITEMS = ["a1", "a2", "a3"]
+
+
+@pytest.fixture
+def tier(tmp_path: Path) -> Iterator[Tier]:
+    made = Tier(tmp_path)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+@pytest.fixture
+def read() -> dict[str, Any]:
+    """The results of the first batch job, as read first."""
+    return {}
+
+
+def whole(request_id: str) -> bytes:
+    return b"".join(f"id: {n}\ndata: {request_id} {n}\n\n".encode() for n in range(EVENTS))
+
+
+def finished(tier: Tier, edge: Program, job: str, count: int) -> dict[str, Any]:
+    def done() -> dict[str, Any] | None:
+        page = tier.results(edge, job)
+        return page if page is not None and len(page["results"]) == count else None
+
+    found = wait_until(done, f"{count} results of {job}")
+    assert isinstance(found, dict)
+    return found
+
+
+@given("a tier whose programs were all started together")
+def _(tier: Tier) -> None:
+    tier.start()
+
+
+@when(parsers.parse("the operator puts configuration {generation:d} on top of {base:d}"))
+def _(tier: Tier, generation: int, base: int) -> None:
+    assert tier.put(document(generation), base) == 200
+
+
+@then("every edge becomes ready")
+def _(tier: Tier) -> None:
+    tier.wait_ready()
+
+
+@then("a stream comes whole from each edge")
+def _(tier: Tier) -> None:
+    for edge in tier.of("edge"):
+        status, body, headers = tier.ask(edge, "/live/x", f"r-{edge.name}")
+        assert (status, body) == (200, whole(f"r-{edge.name}"))
+        assert headers["Response-Signature"].endswith(f".r-{edge.name}")
+    assert sum(sum(e.runs.values()) for e in tier.engines) == 2
+
+
+@then("a batch job handed in twice is run once")
+def _(tier: Tier, read: dict[str, Any]) -> None:
+    first, second = tier.of("edge")
+    wait_until(lambda: tier.submit(first, "job1", ITEMS) == 202, "the batch job taken")
+    assert tier.submit(second, "job1", ITEMS) == 202
+    read.update(finished(tier, second, "job1", len(ITEMS)))
+    assert read["total"] == len(ITEMS)
+    texts = {result["id"]: result["text"] for result in read["results"]}
+    assert texts == {item: "\n".join(f"{item} {n}" for n in range(EVENTS)) for item in ITEMS}
+    runs = sum((engine.runs for engine in tier.engines), start=type(tier.engines[0].runs)())
+    assert {item: runs[item] for item in ITEMS} == dict.fromkeys(ITEMS, 1)
+
+
+@when(parsers.parse("the {role} primary is killed"))
+def _(tier: Tier, role: str) -> None:
+    leader = tier.leader(role)
+    others = [p for p in tier.of(role) if p is not leader]
+    before = sum(p.said("leads epoch") for p in others)
+    leader.stop()
+    wait_until(lambda: sum(p.said("leads epoch") for p in others) > before, f"another {role} primary")
+
+
+@when("every program is killed and started again")
+def _(tier: Tier) -> None:
+    for program in tier.programs:
+        program.stop()
+    tier.start()
+
+
+@then(parsers.parse("the configuration read back is {generation:d}"))
+def _(tier: Tier, generation: int) -> None:
+    assert tier.configuration() == document(generation)
+
+
+@then(parsers.parse("configuration {generation:d} on top of {base:d} is taken"))
+def _(tier: Tier, generation: int, base: int) -> None:
+    assert tier.put(document(generation, route("more")), base) == 200
+    edge = tier.of("edge")[0]
+    wait_until(lambda: tier.ask(edge, "/more/x", "r-more")[0] == 200, "the new route in force")
+
+
+@then("the same change sent again is acknowledged again")
+def _(tier: Tier) -> None:
+    assert tier.put(document(7, route("more")), 5) == 200
+
+
+@then("a change on top of 5 is refused")
+def _(tier: Tier) -> None:
+    assert tier.put(document(8), 5) == 412
+
+
+@then("the results of the batch job are those read before")
+def _(tier: Tier, read: dict[str, Any]) -> None:
+    for edge in tier.of("edge"):
+        assert finished(tier, edge, "job1", len(ITEMS)) == read
+
+
+@then("another batch job is run")
+def _(tier: Tier) -> None:
+    edge = tier.of("edge")[0]
+    wait_until(lambda: tier.submit(edge, "job2", ["b1"]) == 202, "the second batch job taken")
+    finished(tier, edge, "job2", 1)
+
+
+@then("a stream that its endpoint breaks off in an event comes whole")
+def _(tier: Tier) -> None:
+    for engine in tier.engines:
+        engine.cut_after = 1
+    status, body, _ = tier.ask(tier.of("edge")[0], "/live/x", "r-cut")
+    assert (status, body) == (200, whole("r-cut"))
+    assert sum(engine.runs["r-cut"] for engine in tier.engines) == 2
+
+
+@then("a sidecar that is told to stop ends the stream that it carries")
+def _(tier: Tier) -> None:
+    edge = tier.of("edge")[0]
+    answers: list[tuple[int, bytes, dict[str, str]]] = []
+    for engine in tier.engines:
+        engine.hold.clear()
+    asking = threading.Thread(target=lambda: answers.append(tier.ask(edge, "/live/x", "r-stop")))
+    asking.start()
+    wait_until(lambda: any(engine.runs["r-stop"] for engine in tier.engines), "the stream at its endpoint")
+    assert edge.process is not None
+    edge.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: tier.call(edge, "readiness", "GET", "/readyz")[0] == 503, "the sidecar draining")
+    for engine in tier.engines:
+        engine.hold.set()
+    asking.join()
+    assert [(status, body) for status, body, _ in answers] == [(200, whole("r-stop"))]
+    assert edge.process.wait(30.0) == 0
--- /dev/null
+++ b/tests/tier_support.py
@@ -0,0 +1,332 @@
+"""A whole tier on loopback: its real programs, with stand-ins for the list and the model endpoints."""
+
+from __future__ import annotations
+
+import base64
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from http.client import HTTPConnection, HTTPException
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+
+BOUND_S = 30.0  # for anything to come about, on however slow a machine
+POLL_S = 0.02
+SERVICE = "svc"
+HOST = "tier.example"
+EVENTS = 3
+
+
+def wait_until(found: Callable[[], Any], what: str, bound_s: float = BOUND_S) -> Any:
+    """The first true value of `found`, asked again and again."""
+    end = time.monotonic() + bound_s
+    pause = threading.Event()
+    while time.monotonic() < end:
+        value = found()
+        if value:
+            return value
+        pause.wait(POLL_S)
+    raise AssertionError(f"not within {bound_s:g} s: {what}")
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Nothing."""
+
+    def reply(self, status: int, body: bytes = b"", **headers: str) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class StandIn:
+    """An HTTP server in threads of its own."""
+
+    def __init__(self, handler: type[Handler]) -> None:
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self.server.daemon_threads = True
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Engine(StandIn):
+    """A model endpoint: a stream of events for each request; `cut_after` breaks the next one off."""
+
+    def __init__(self, identity: str) -> None:
+        engine = self
+        self.identity = identity
+        self.runs: Counter[str] = Counter()
+        self.cut_after = 0
+        self.hold = threading.Event()  # while it is clear, streams wait after their first event
+        self.hold.set()
+
+        class EngineHandler(Handler):
+            def do_POST(self) -> None:
+                self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                if self.headers.get("Expect-Instance", identity) != identity:
+                    self.reply(421)
+                    return
+                request_id = self.headers["Request-Id"]
+                engine.runs[request_id] += 1
+                first = int(self.headers.get("Last-Event-Id", -1)) + 1
+                self.send_response(200)
+                self.send_header("Content-Type", "text/event-stream")
+                self.send_header("Request-Id", request_id)
+                self.send_header("Response-Signature", f"{identity}.{request_id}")
+                self.send_header("Transfer-Encoding", "chunked")
+                self.end_headers()
+                for number in range(first, EVENTS):
+                    if engine.cut_after and number >= engine.cut_after:
+                        engine.cut_after = 0
+                        self.wfile.write(b"5\r\nid: ")  # in the middle of an event
+                        self.wfile.flush()
+                        self.connection.shutdown(socket.SHUT_RDWR)
+                        self.close_connection = True
+                        return
+                    event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+                    self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+                    self.wfile.flush()
+                    engine.hold.wait(BOUND_S)
+                self.wfile.write(b"0\r\n\r\n")
+
+        super().__init__(EngineHandler)
+
+
+class Platform(StandIn):
+    """The platform's list of endpoints."""
+
+    def __init__(self, engines: list[Engine]) -> None:
+        platform = self
+        self.draining: set[str] = set()
+
+        class PlatformHandler(Handler):
+            def do_GET(self) -> None:
+                instances = [
+                    {
+                        "id": e.identity,
+                        "backend": SERVICE,
+                        "address": e.address,
+                        "zone": "z0",
+                        "capacity": 8,
+                        "state": "draining" if e.identity in platform.draining else "ready",
+                    }
+                    for e in engines
+                ]
+                body = json.dumps({"instances": instances, "next_token": None}).encode()
+                self.reply(200, body, Content_Type="application/json")
+
+        super().__init__(PlatformHandler)
+
+
+def route(name: str, kind: str = "streaming", **fields: Any) -> dict[str, Any]:
+    made = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 20_000,
+        "slo_ms": 1_000,
+        "priority": 0,
+        "backend": SERVICE,
+        "max_attempts": 2,
+        "resumable": True,
+    }
+    return made | fields
+
+
+def document(generation: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    batch = route("lots", "batch", completion_window_ms=10_000, retention_s=600, max_queued_tokens=1_000)
+    backend = {"name": SERVICE, "max_connections": 100, "engine": {"capacity": 8}}
+    return {"generation": generation, "routes": [route("live"), batch, *routes], "backends": [backend]}
+
+
+class Program:
+    """One process of the tier, at an address of its own."""
+
+    def __init__(self, role: str, number: int, folder: Path, settings: dict[str, str]) -> None:
+        self.role = role
+        self.name = f"{role}-{number}"
+        self.ip = settings["ip"]
+        self.file = folder / f"{self.name}.conf"
+        self.log = folder / f"{self.name}.log"
+        self.file.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        environment = os.environ | {"OTTERCLEAT_CONFIG": str(self.file)}
+        with self.log.open("ab") as log:
+            command = [sys.executable, "-m", f"eiderhub.programs.{self.role}"]
+            self.process = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
+
+    def stop(self, how: signal.Signals = signal.SIGKILL) -> int:
+        assert self.process is not None
+        self.process.send_signal(how)
+        return self.process.wait(BOUND_S)
+
+    def said(self, text: str) -> int:
+        """How often it has logged this."""
+        return self.log.read_text().count(text)
+
+
+class Tier:
+    """Three control nodes, `storage` storage nodes and two edges, in three zones."""
+
+    def __init__(self, folder: Path, storage: int = 3) -> None:
+        self.engines = [Engine("i-1"), Engine("i-2")]
+        self.platform = Platform(self.engines)
+        self.folder = folder
+        base = 127 << 24 | (os.getpid() % 199 + 2) << 16  # test processes side by side have addresses apart
+        addresses = iter(range(base + 1, base + 250))
+        ports = {"frontend": 18161, "readiness": 18167, "control": 18166}
+        self.ports = ports
+        roles = ["control"] * 3 + ["storage"] * storage + ["edge"] * 2
+        ips = [socket.inet_ntoa(next(addresses).to_bytes(4, "big")) for _ in roles]
+        seeds = ",".join(f"{ip}:{ports['control']}" for ip in ips[:3])
+        self.programs: list[Program] = []
+        for number, (role, ip) in enumerate(zip(roles, ips, strict=True)):
+            settings = {
+                "node_name": f"{role}-{number}",
+                "role": role,
+                "ip": ip,
+                "zone": f"z{number % 3}",
+                "region": "r",
+                "port_range": "17720,17735",
+                "seeds": seeds,
+                "bootstrap": "true",
+                "data_dir": str(folder / f"data-{role}-{number}"),
+                "limits.disk_mb": "64",
+                "fault_tolerance.machines": "1",
+                "bounds.grace_s": "8",
+                "cloud_api.address": self.platform.address,
+            }
+            settings |= {f"listen.{name}": f"{ip}:{port}" for name, port in ports.items()}
+            self.programs.append(Program(role, number, folder, settings))
+
+    def of(self, role: str) -> list[Program]:
+        return [program for program in self.programs if program.role == role]
+
+    def start(self) -> None:
+        for program in self.programs:
+            program.start()
+
+    def close(self) -> None:
+        for engine in self.engines:
+            engine.hold.set()
+        for program in self.programs:
+            if program.process is not None and program.process.poll() is None:
+                program.stop()
+        for stand_in in (*self.engines, self.platform):
+            stand_in.close()
+
+    # --- calls ---
+
+    def call(
+        self, program: Program, port: str, method: str, path: str, body: bytes = b"", **headers: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """One call; status 0 where no answer came."""
+        connection = HTTPConnection(program.ip, self.ports[port], timeout=BOUND_S)
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        try:
+            connection.request(method, path, body or None, named)
+            answer = connection.getresponse()
+            return answer.status, answer.read(), dict(answer.getheaders())
+        except (OSError, HTTPException):
+            return 0, b"", {}
+        finally:
+            connection.close()
+
+    def operate(
+        self, method: str, path: str, body: bytes = b"", base: int | None = None
+    ) -> tuple[int, bytes]:
+        """An operator's call at each control node in turn, until one gives a clear answer."""
+        headers = {} if base is None else {"If_Match": str(base)}
+        last = (0, b"")
+        for program in self.of("control"):
+            if program.process is None or program.process.poll() is not None:
+                continue
+            status, answer, told = self.call(program, "control", method, path, body, **headers)
+            if status == 307:
+                host = told["Location"].split("//")[1].split(":")[0]
+                target = next(p for p in self.programs if p.ip == host)
+                status, answer, told = self.call(target, "control", method, path, body, **headers)
+            last = (status, answer)
+            if status and status < 500 and status != 307:
+                break
+        return last
+
+    def put(self, made: dict[str, Any], base: int) -> int:
+        body = json.dumps(made).encode()
+        return int(
+            wait_until(
+                lambda: next((s for s, _ in [self.operate("PUT", "/config", body, base)] if 0 < s < 500), 0),
+                f"an answer to configuration {made['generation']}",
+            )
+        )
+
+    def configuration(self) -> dict[str, Any]:
+        def read() -> dict[str, Any] | None:
+            status, body = self.operate("GET", "/config")
+            return json.loads(body) if status == 200 else None
+
+        found = wait_until(read, "the configuration")
+        assert isinstance(found, dict)
+        return found
+
+    def ready(self, edge: Program) -> bool:
+        return self.call(edge, "readiness", "GET", "/readyz")[0] == 200
+
+    def wait_ready(self) -> None:
+        for edge in self.of("edge"):
+            wait_until(partial(self.ready, edge), f"{edge.name} ready")
+
+    def ask(self, edge: Program, path: str, request_id: str) -> tuple[int, bytes, dict[str, str]]:
+        return self.call(
+            edge, "frontend", "POST", path, b"prompt", Host=HOST, Request_Id=request_id, Timeout_Ms="20000"
+        )
+
+    def submit(self, edge: Program, job: str, items: list[str]) -> int:
+        requests = [
+            {
+                "id": item,
+                "path": f"/lots/{item}",
+                "headers": {"Token-Usage": "10,10"},
+                "body": base64.b64encode(item.encode()).decode(),
+                "tokens": 20,
+            }
+            for item in items
+        ]
+        body = json.dumps({"requests": requests}).encode()
+        return self.call(edge, "frontend", "POST", "/lots/x", body, Host=HOST, Request_Id=job)[0]
+
+    def results(self, edge: Program, job: str, start: int = 0) -> dict[str, Any] | None:
+        path = f"/lots/{job}?start_after={start}"
+        status, body, _ = self.call(edge, "frontend", "GET", path, Host=HOST, Wait_Ms="500")
+        return json.loads(body) if status == 200 else None
+
+    def leader(self, role: str) -> Program:
+        """The program that said last that it leads."""
+        running = [p for p in self.of(role) if p.process is not None and p.process.poll() is None]
+
+        def last(program: Program) -> int:
+            lines = [line for line in program.log.read_text().splitlines() if "leads epoch" in line]
+            return int(lines[-1].split("leads epoch ")[1].split()[0]) if lines else 0
+
+        return max(running, key=last)
