Elect at once where every member has just started; tell clients when a starting sidecar takes requests

Cause: after a loss of all, the witnesses waited a lease before the first vote, and sidecars without a configuration refused with a wait of 0.2 s, so that the one retry was refused too. Ruled out: serving by a configuration kept on the sidecar's disk (it may not have been committed). Change: a witness that only its start keeps from granting says so; where all members do, no lease can run.

--- a/eiderhub/coordination/messages.py
+++ b/eiderhub/coordination/messages.py
@@ -64,6 +64,7 @@
     position: Position
     trial: bool
     transfer: bool = False  # the primary itself has asked for it
+    unled: bool = False  # every member has said that it follows nobody: no lease can run
 
 
 class EpochAnswer(Struct, tag=True, frozen=True):
@@ -73,6 +74,7 @@
     granted: bool
     trial: bool
     highest: int  # epoch that the witness knows of
+    young: bool = False  # only the time since its start keeps it from granting
 
 
 class TakeOver(Struct, tag=True, frozen=True):
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -47,6 +47,7 @@
     lease: float = 0.35
     election_least: float = 0.45
     election_spread: float = 0.25
+    first_election: float = 0.1  # wait of a replica that was started lately, on the mean
     replace_after: float = 1.5  # a member that is silent for so long is replaced, where another can be
     remove_after: float = 6.0  # and leaves the group after so long, where none can
 
@@ -139,8 +140,9 @@
         self._members = self._read_members()
         self._last_heard = now  # from a primary
         self._started_at = now
-        self._election_at = now + self._wait()
+        self._election_at = now + self._wait(now)
         self._votes: set[str] = set()
+        self._unled: set[str] = set()  # members that follow nobody, and were started again lately
         self._trial = False
         self._asked_epoch = 0
         self._peers: dict[str, Peer] = {}
@@ -295,7 +297,7 @@
             self._step_down(now)
         self.primary = sender
         self._last_heard = now
-        self._election_at = now + self._wait()
+        self._election_at = now + self._wait(now)
         gap = False
         if isinstance(message, InstallSnapshot):
             if self.position != message.position:
@@ -327,23 +329,26 @@
 
     # --- witness and candidate ---
 
-    def _wait(self) -> float:
+    def _wait(self, now: float) -> float:
+        if self._young(now) and self.primary is None:
+            return self.timing.first_election * (0.5 + self._random.random())
         return self.timing.election_least + self.timing.election_spread * self._random.random()
 
     def _majority(self) -> int:
         return len(self._members) // 2 + 1
 
-    def _stand(self, now: float, trial: bool, transfer: bool = False) -> None:
+    def _stand(self, now: float, trial: bool, transfer: bool = False, unled: bool = False) -> None:
         """Ask the witnesses for the next epoch; first whether they would grant it."""
         self._trial = trial
         self._asked_epoch = self.epoch + 1
-        self._election_at = now + self._wait()
+        self._election_at = now + self._wait(now)
         if not trial:
             self.store.grant(self._asked_epoch)  # our own witness
             self.role = Role.CANDIDATE
             self.primary = None
         self._votes = {self.identity}
-        request = RequestEpoch(self._asked_epoch, self.position, trial, transfer)
+        self._unled = set()
+        request = RequestEpoch(self._asked_epoch, self.position, trial, transfer, unled)
         for member in sorted(self._members - {self.identity}):
             self._send(member, request)
         self._count(now)
@@ -351,25 +356,32 @@
     def _on_request(self, now: float, sender: str, message: RequestEpoch) -> None:
         follows = self.primary is not None and now - self._last_heard < self.timing.election_least
         leads = self.role is Role.PRIMARY and now < self._lease_end() and not self._stopped_leading
-        # Before it was started again, this witness may have answered a primary whose lease still runs.
-        settled = now - self._started_at >= self.timing.lease
-        granted = (
-            settled
-            and message.epoch > self.epoch
+        willing = (
+            message.epoch > self.epoch
             and message.position >= self.position
             and (message.transfer or not (follows or leads))
         )
-        if granted:
+        granted = willing and (message.unled or not self._young(now))
+        if willing:
             # Danger: where all that are left must grant, two that stand at once undo each other.
-            self._election_at = now + self._wait()
+            self._election_at = now + self._wait(now)
         if granted and not message.trial:
             if self.role is not Role.BACKUP:
                 self._step_down(now)
             self.store.grant(message.epoch)
             self.primary = None
-        self._send(sender, EpochAnswer(message.epoch, granted, message.trial, self.epoch))
+        young = willing and not granted
+        self._send(sender, EpochAnswer(message.epoch, granted, message.trial, self.epoch, young))
+
+    def _young(self, now: float) -> bool:
+        """Whether a primary that this witness answered before its start may still have its lease."""
+        return now - self._started_at < self.timing.lease
 
     def _on_answer(self, now: float, sender: str, message: EpochAnswer) -> None:
+        if message.young and message.trial and self._trial and message.epoch == self._asked_epoch:
+            self._unled.add(sender)
+            self._count(now)
+            return
         if not message.granted:
             if message.highest > self.epoch and self.role is Role.CANDIDATE:
                 self.store.grant(message.highest)
@@ -384,7 +396,11 @@
             self._count(now)
 
     def _count(self, now: float) -> None:
-        if len(self._votes & self._members) < self._majority():
+        if self._trial and self.role is Role.BACKUP and self._members <= self._votes | self._unled:
+            if self._young(now) or self._unled:
+                self._stand(now, trial=False, unled=True)
+                return
+        if len(self._votes & self._members) < self._majority() or (self._trial and self._young(now)):
             return
         if self._trial:
             if self._asked_epoch == self.epoch + 1:
@@ -413,7 +429,7 @@
         self.primary = None
         self._peers = {}
         self._votes = set()
-        self._election_at = now + self._wait()
+        self._election_at = now + self._wait(now)
 
     def _lease_end(self) -> float:
         return self._majority_heard() + self.timing.lease
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -26,6 +26,7 @@
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
 TIMEOUT_MARGIN_MS = 25  # an answer leaves so long before the time is up
+STARTING_US = 600_000  # a sidecar that has just started has a configuration by then, as a rule
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 log = logging.getLogger("edge")
@@ -110,7 +111,7 @@
     def serve(self, exchange: ClientExchange) -> None:
         self.last_request = asyncio.get_running_loop().time()
         if self._routes is None:
-            exchange.refuse(ErrorKind.NOT_READY, 200_000)
+            exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
             return
         target = exchange.url.decode("latin-1")
         host = exchange.headers.get(b"host", b"").decode("latin-1")
@@ -134,7 +135,7 @@
     def _pass_on(self, exchange: ClientExchange, route: Route) -> None:
         found = self.route_for(route.name)
         if found is None:
-            exchange.refuse(ErrorKind.NOT_READY, 200_000)
+            exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
             return
         admission = found[1]
         headers = exchange.headers
