--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -154,6 +154,7 @@
         self._transfer_until = 0.0  # a transfer that has not come about by then is off
         self._next_heartbeat = 0.0
         self._learners: set[str] = set()
+        self._given_up: dict[str, float] = {}  # when a learner last had not caught up
         self._leaving: set[str] = set()
         self._stopped_leading = False
 
@@ -539,7 +540,8 @@
 
     def _teach(self, now: float) -> None:
         """Have the first of those that want to belong catch up."""
-        for identity in self.candidates:
+        # Danger: one that never catches up, its disk being full, would keep all others out.
+        for identity in sorted(self.candidates, key=lambda i: self._given_up.get(i, 0.0)):
             if identity not in self._members | self._learners | self._leaving:
                 self._learners.add(identity)
                 self._peers[identity] = Peer(now)
@@ -556,6 +558,7 @@
         ):
             self._learners.discard(identity)
             if identity not in self._members:
+                self._given_up[identity] = now
                 del self._peers[identity]
             return False
         caught_up = peer.matched is not None and peer.matched.version >= self.committed
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -32,25 +32,39 @@
         Raises:
             StoreUnusable: there is none to read, or it can't be opened.
         """
-        path = folder / FILE_NAME
+        path = self._path = folder / FILE_NAME
         self.created = not path.exists()
         if self.created and read_only:
             raise StoreUnusable(f"{path}: there is no store")
         if not read_only:
             folder.mkdir(parents=True, exist_ok=True)
-        size = max(LEAST_MAP_BYTES, int(disk_mb * DISK_SHARE) << 20)
+        self._map_bytes = max(LEAST_MAP_BYTES, int(disk_mb * DISK_SHARE) << 20)
+        self._read_only = read_only
         try:
-            self._environment = lmdb.open(
-                str(path), subdir=False, map_size=size, max_dbs=2, lock=False, readonly=read_only
-            )
-            self._meta = self._environment.open_db(b"meta", create=not read_only)
-            self._data = self._environment.open_db(b"data", create=not read_only)
-            self._read()
+            self._open()
             if self.created:
                 self._initialise(folder, identity)
         except (lmdb.Error, OSError, msgspec.DecodeError) as error:
             raise StoreUnusable(f"{path}: {error}") from error
 
+    def _open(self) -> None:
+        self._environment = lmdb.open(
+            str(self._path),
+            subdir=False,
+            map_size=self._map_bytes,
+            max_dbs=2,
+            lock=False,
+            readonly=self._read_only,
+        )
+        self._meta = self._environment.open_db(b"meta", create=not self._read_only)
+        self._data = self._environment.open_db(b"data", create=not self._read_only)
+        self._read()
+
+    def _reopen(self) -> None:
+        """After a write that failed lmdb takes no more until the environment is opened anew."""
+        self._environment.close()
+        self._open()
+
     def _initialise(self, folder: Path, identity: str) -> None:
         self.identity = identity
         with self._environment.begin(write=True) as transaction:
@@ -109,7 +123,10 @@
                 transaction.put(EPOCH_KEY, str(epoch).encode(), db=self._meta)
             self._environment.sync(True)
         except (lmdb.Error, OSError) as error:
-            self._read()  # what is there may be the new state, written and not synced
+            try:
+                self._reopen()  # what is there may be the new state, written and not synced
+            except (lmdb.Error, OSError) as again:
+                raise StoreFailed(f"{error}; {again}") from again
             raise StoreFailed(str(error)) from error
         self._position, self._epoch = position, epoch
 
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -81,6 +81,7 @@
         self._links: dict[str, Link] = {}  # by address
         self._incoming: dict[str, Connection] = {}  # by identity
         self._zones = {node.identity: node.zone}
+        self._logged_members: frozenset[str] = frozenset()
         self._writes: list[Write] = []
         self._waiting: list[asyncio.Future[None]] = []  # for the writes that are not proposed yet
         self._proposed: list[tuple[int, int, asyncio.Future[None]]] = []  # epoch, version
@@ -205,6 +206,9 @@
             if link is not None and link.connection is not None:
                 link.connection.send(outgoing.message)
         self._resolve()
+        if self.replica.members != self._logged_members:
+            self._logged_members = self.replica.members
+            log.info("members %s", " ".join(sorted(self._logged_members)))
         self._on_change()
 
     def _resolve(self) -> None:
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -131,3 +131,20 @@
     assert primary.committed < position.version
     primary.receive(2.1, "b@2", Replicated(2, position, 2.0))
     assert primary.committed == position.version
+
+
+def test_learner_that_never_catches_up_keeps_no_other_out() -> None:
+    """Recorded: a spare whose disk was full stood first, and the group stayed at two copies."""
+    world = World(3, loss=0.0, repeat=0.0, count=5, size=GroupSize(3, 3), members=3)
+    world.machines["m3"].store.full = True
+    world.run(2.0)
+    lost = next(
+        m
+        for m in world.running()
+        if m.address in ("m0", "m1", "m2") and m.replica and not m.replica.leads(world.now)
+    )
+    world.stop(lost, 60.0)
+    world.run(RECOVERY_S)
+    leader = next(m for m in world.running() if m.replica and m.replica.leads(world.now))
+    assert leader.replica is not None
+    assert "id4@m4" in leader.replica.members
