Forget who was at an address before: a dead identity was taught as the spare again and again

Ruled out: lmdb after a full disk, synced writes after a loss of power, elections. Change: a greeting replaces the identity that was at its address; keep-alive probes on all connections of the tier.

--- a/eiderhub/transport/framing.py
+++ b/eiderhub/transport/framing.py
@@ -20,6 +20,7 @@
 MOST_MESSAGE = 64 << 20  # bytes
 MOST_UNSENT = 96 << 20  # bytes that a peer may leave unread
 UNACKNOWLEDGED_MS = 1500  # a connection whose bytes are not acknowledged for so long is broken
+KEEPALIVE_S, KEEPALIVE_PROBES = 1, 2
 CONNECT_S = 0.5
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -49,6 +50,11 @@
         raw = transport.get_extra_info("socket")
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+        # A machine that lost its power says nothing, and where we send nothing either we would never know.
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
         self._on_open(self)
 
     def send(self, message: Message) -> None:
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -91,6 +91,12 @@
     def now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    def stop(self) -> None:
+        """Tick no more, and open no more connections."""
+        self._ticker.cancel()
+        for link in self._links.values():
+            link.task.cancel()
+
     # --- what the program asks ---
 
     def leads(self) -> bool:
@@ -152,7 +158,9 @@
         return {identity for identity in known if address_of(identity) == target}
 
     def greeted(self, connection: Connection, node: NodeRecord) -> None:
-        """Another replica has connected to us."""
+        """Another replica has connected to us; whoever was at its address before is gone."""
+        for identity in [i for i in self._incoming if address_of(i) == address_of(node.identity)]:
+            del self._incoming[identity]
         self._incoming[node.identity] = connection
         self._zones[node.identity] = node.zone
         connection.send(Hello(self.node))
@@ -171,11 +179,12 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self._tend_members()
+            self.tend_members()
             self.replica.tick(self.now())
             self._after()
 
-    def _tend_members(self) -> None:
+    def tend_members(self) -> None:
+        """Tell the replica who wants to belong, and who must not."""
         for member in self.replica.members:
             self.know(address_of(member))
         if self.replica.role is not Role.PRIMARY:
