--- a/eiderhub/cli/__main__.py
+++ b/eiderhub/cli/__main__.py
@@ -20,6 +20,7 @@
     "load": "Send open-loop traffic to a sidecar on loopback.",
     "registry": "Run the list service, or ask and tell it.",
     "run": "Run one sidecar.",
+    "tier": "Run and operate the serving tier.",
     "zone": "Take traffic from a zone, and give it back.",
 }
 
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -78,6 +78,25 @@
     subscriber: Subscriber
 
 
+class NodeStatus(msgspec.Struct):
+    name: str
+    role: str
+    zone: str
+
+
+class Status(msgspec.Struct):
+    """The answer to `GET /status`."""
+
+    node: str
+    leads: bool
+    epoch: int
+    version: int
+    generation: int
+    primary: str
+    members: list[str]
+    nodes: list[NodeStatus]
+
+
 class RetireRecord(msgspec.Struct):
     identity: str
     done: bool
@@ -311,6 +330,8 @@
     # --- the operator's API ---
 
     async def handle(self, call: Call) -> Reply:
+        if call.path == "/status" and call.method == "GET":
+            return self._status()
         if not self.group.leads():
             return self._elsewhere(call)
         if call.path == "/config":
@@ -327,6 +348,21 @@
                 return await self._retire(name)
         return Reply(HTTPStatus.NOT_FOUND)
 
+    def _status(self) -> Reply:
+        """What this node knows, whether it leads or not."""
+        replica = self.group.replica
+        status = Status(
+            node=self._node.name,
+            leads=self.group.leads(),
+            epoch=replica.epoch,
+            version=replica.position.version,
+            generation=self.tables.configuration.generation,
+            primary=replica.primary or "",
+            members=sorted(replica.members),
+            nodes=[NodeStatus(n.name, n.role, n.zone) for n in self.tables.nodes.nodes],
+        )
+        return Reply(HTTPStatus.OK, msgspec.json.encode(status))
+
     def _elsewhere(self, call: Call) -> Reply:
         primary = self.group.replica.primary
         if primary is None or primary == self._node.identity:
--- /dev/null
+++ b/tests/test_tier_commands.py
@@ -0,0 +1,97 @@
+"""`ottercleat tier`: what it prints, and its exit statuses."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from eiderhub.coordination.messages import Position, Update, Write
+from eiderhub.storage.store import LmdbStore
+from tests.tier_support import Tier, document, wait_until
+
+
+def ottercleat(*words: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "eiderhub.cli", "tier", *words]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize(
+    ("change", "status", "says"),
+    [
+        ({}, 0, "valid, 2 routes"),
+        (
+            {"routes": [{"name": "r", "host": "h", "path_prefix": "/r/", "timeout_ms": 0}]},
+            1,
+            "$.routes[0].timeout_ms",
+        ),
+        ({"backends": []}, 1, "unknown service"),
+    ],
+)
+def test_config_check(tmp_path: Path, change: dict[str, object], status: int, says: str) -> None:
+    file = tmp_path / "c.json"
+    file.write_text(json.dumps(document(1) | change))
+    done = ottercleat("config-check", str(file))
+    assert done.returncode == status
+    assert says in done.stdout + done.stderr
+
+
+def test_store_is_read_offline(tmp_path: Path) -> None:
+    store = LmdbStore(tmp_path, 16.0, "id@h:1")
+    store.apply([Update(Position(2, 5), [Write("config/current", b"{}")])])
+    store.close()
+    checked = ottercleat("store-check", str(tmp_path))
+    assert (checked.returncode, checked.stdout.splitlines()[0]) == (
+        0,
+        "id@h:1: epoch 2, version 5, granted 0",
+    )
+    assert ottercleat("store-show", str(tmp_path)).stdout.split() == ["2", "config/current"]
+
+
+@pytest.mark.parametrize(
+    "words",
+    [["store-check", "/nowhere"], ["run", "cook", "/nowhere"], ["run", "edge", "/nowhere"], ["no-such"], []],
+)
+def test_wrong_use_is_one_plain_error_and_status_2(words: list[str]) -> None:
+    done = ottercleat(*words)
+    assert done.returncode == 2
+    assert "Traceback" not in done.stderr
+
+
+def test_nobody_listens(tmp_path: Path) -> None:
+    done = ottercleat("status", "127.0.0.1:1")
+    assert done.returncode == 1
+    assert "no answer" in done.stderr
+
+
+def test_operating_a_tier(tmp_path: Path) -> None:
+    tier = Tier(tmp_path, storage=4)
+    try:
+        tier.start()
+        file = tmp_path / "c.json"
+        file.write_text(json.dumps(document(3)))
+        address = f"{tier.of('control')[0].ip}:{tier.ports['control']}"
+        wait_until(
+            lambda: ottercleat("config-put", address, str(file), "--base", "0").returncode == 0, "a primary"
+        )
+        assert json.loads(ottercleat("config-get", address).stdout) == document(3)
+        again = ottercleat("config-put", address, str(file), "--base", "0")
+        assert again.returncode == 0  # it is in force already
+        file.write_text(json.dumps(document(4)))
+        assert "412" in ottercleat("config-put", address, str(file), "--base", "1").stderr
+        node = tier.of("storage")[0].name
+        wait_until(lambda: ottercleat("retire", address, node).returncode == 0, "the retirement taken")
+        wait_until(
+            lambda: "succeeded" in ottercleat("retire", address, node, "--ask").stdout, "the node empty"
+        )
+        other = ottercleat("retire", address, tier.of("storage")[1].name)
+        assert other.returncode == 1
+        assert "409" in other.stderr
+        told = ottercleat("status", address)
+        assert told.returncode == 0
+        assert node in told.stdout
+    finally:
+        tier.close()
