--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -134,6 +134,21 @@
     return Ok(made)
 
 
+def difference(old: Document, new: Document) -> Document | None:
+    """A patch that makes the new configuration of the old one; None where none can."""
+    patch: Document = {"generation": new["generation"], "upsert": {}, "remove": {}}
+    for kind in LISTS:
+        before = {item["name"]: item for item in old[kind]}
+        after = {item["name"]: item for item in new[kind]}
+        changed = [item for name, item in after.items() if before.get(name) != item]
+        removed = [name for name in before if name not in after]
+        patch["upsert"] |= {kind: changed} if changed else {}
+        patch["remove"] |= {kind: removed} if removed else {}
+    if new.get("limits") != old.get("limits") and "limits" in new:
+        patch["upsert"]["limits"] = new["limits"]
+    return patch if patched(old, patch).unwrap() == new else None
+
+
 def decide(
     current: Document | None, taken: bytes | None, change: Change, document: Document
 ) -> Result[Accepted, Refusal]:
--- a/eiderhub/control/distribution.py
+++ b/eiderhub/control/distribution.py
@@ -1,75 +1,165 @@
 """Streams the control plane's tables to subscribers, and follows them on the subscriber's side.
 
-Pure: it says what to send and what to apply. Each table has versions that only rise at a reader, and each
-subscriber's acknowledgements are kept, so that only what it lacks is sent.
+Pure: it says what to send and what to apply. Each table has versions that only rise at a reader. A subscriber
+that has one of the recent versions is sent the changes since then, any other the whole table; it is taken to
+have what it says that it has applied.
 """
 
 from __future__ import annotations
 
+import json
+from collections import deque
+from typing import NamedTuple
+
 from msgspec import Struct, field
 
+from eiderhub.control import configuration
 from eiderhub.control.messages import (
+    ConfigurationDelta,
     ConfigurationUpdate,
+    EndpointsDelta,
     EndpointsUpdate,
     NodesUpdate,
     SessionPing,
+    TableUpdate,
     TableVersion,
 )
 
 UNKNOWN = TableVersion(0, 0)
+KEPT_DELTAS = 64  # changes of a table that a subscriber may be behind
+WHOLE_SHARE = 0.5  # a delta larger than this share of its table is not worth keeping
 
 
 class Tables(Struct):
-    """What a node has of the control plane's state."""
+    """What a node has of the control plane's state, and the latest changes of it."""
 
     configuration: ConfigurationUpdate = field(default_factory=lambda: ConfigurationUpdate(0, b""))
     endpoints: EndpointsUpdate = field(default_factory=lambda: EndpointsUpdate(UNKNOWN, []))
     nodes: NodesUpdate = field(default_factory=lambda: NodesUpdate(UNKNOWN, [], [], []))
+    configuration_deltas: deque[ConfigurationDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
+    endpoints_deltas: deque[EndpointsDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
 
-    def apply(self, update: ConfigurationUpdate | EndpointsUpdate | NodesUpdate) -> bool:
-        """Take a newer state of one table; an older one changes nothing."""
+    def apply(self, update: TableUpdate) -> bool:
+        """Take a newer state of one table; an older one, or a change of another state, changes nothing."""
         if isinstance(update, ConfigurationUpdate):
             if update.generation <= self.configuration.generation:
                 return False
+            self._note_configuration(self.configuration, update)
             self.configuration = update
         elif isinstance(update, EndpointsUpdate):
             if update.version <= self.endpoints.version:
                 return False
+            self._note_endpoints(self.endpoints, update)
             self.endpoints = update
-        else:
+        elif isinstance(update, NodesUpdate):
             if update.version <= self.nodes.version:
                 return False
             self.nodes = update
+        elif isinstance(update, ConfigurationDelta):
+            return self._apply_configuration(update)
+        else:
+            return self._apply_endpoints(update)
         return True
 
+    def _apply_configuration(self, delta: ConfigurationDelta) -> bool:
+        if delta.base != self.configuration.generation:
+            return False
+        current = json.loads(self.configuration.document)
+        made = configuration.patched(current, json.loads(delta.patch)).unwrap()
+        self.configuration = ConfigurationUpdate(delta.generation, _compact(made))
+        self.configuration_deltas.append(delta)
+        return True
+
+    def _apply_endpoints(self, delta: EndpointsDelta) -> bool:
+        if delta.base != self.endpoints.version:
+            return False
+        records = {record.id: record for record in self.endpoints.endpoints}
+        for identity in delta.removed:
+            records.pop(identity, None)
+        records.update((record.id, record) for record in delta.changed)
+        self.endpoints = EndpointsUpdate(delta.version, [records[key] for key in sorted(records)])
+        self.endpoints_deltas.append(delta)
+        return True
+
+    def _note_configuration(self, old: ConfigurationUpdate, new: ConfigurationUpdate) -> None:
+        if not old.generation:
+            return
+        patch = configuration.difference(json.loads(old.document), json.loads(new.document))
+        if patch is not None and len(body := _compact(patch)) < WHOLE_SHARE * len(new.document):
+            self.configuration_deltas.append(ConfigurationDelta(old.generation, new.generation, body))
+
+    def _note_endpoints(self, old: EndpointsUpdate, new: EndpointsUpdate) -> None:
+        before = {record.id: record for record in old.endpoints}
+        after = {record.id: record for record in new.endpoints}
+        changed = [record for key, record in after.items() if before.get(key) != record]
+        removed = [key for key in before if key not in after]
+        if len(changed) + len(removed) < WHOLE_SHARE * len(after):
+            self.endpoints_deltas.append(EndpointsDelta(old.version, new.version, changed, removed))
+
+
+def _compact(document: configuration.Document) -> bytes:
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+class _Sent(NamedTuple):
+    generation: int
+    endpoints: TableVersion
+    nodes: TableVersion
+
+    def raised_to(self, other: _Sent) -> _Sent:
+        return _Sent(
+            max(self.generation, other.generation),
+            max(self.endpoints, other.endpoints),
+            max(self.nodes, other.nodes),
+        )
+
 
 class Subscriber:
     """What one session has been sent and has acknowledged."""
 
     def __init__(self) -> None:
-        self.sent = SessionPing(0, UNKNOWN, UNKNOWN)
-        self.acknowledged = SessionPing(0, UNKNOWN, UNKNOWN)
+        self._sent = _Sent(0, UNKNOWN, UNKNOWN)
+        self.acknowledged = _Sent(0, UNKNOWN, UNKNOWN)
 
     def acknowledge(self, ping: SessionPing) -> None:
-        self.acknowledged = ping
-        self.sent = SessionPing(
-            max(self.sent.generation, ping.generation),
-            max(self.sent.endpoints, ping.endpoints),
-            max(self.sent.nodes, ping.nodes),
-        )
+        self.acknowledged = _Sent(ping.generation, ping.endpoints, ping.nodes)
+        self._sent = self._sent.raised_to(self.acknowledged)
 
-    def pending(self, tables: Tables) -> list[ConfigurationUpdate | EndpointsUpdate | NodesUpdate]:
+    def pending(self, tables: Tables) -> list[TableUpdate]:
         """What to send now; it counts as sent."""
-        updates: list[ConfigurationUpdate | EndpointsUpdate | NodesUpdate] = []
-        if tables.configuration.generation > self.sent.generation:
-            updates.append(tables.configuration)
-        if tables.endpoints.version > self.sent.endpoints:
-            updates.append(tables.endpoints)
-        if tables.nodes.version > self.sent.nodes:
+        updates: list[TableUpdate] = []
+        if tables.configuration.generation > self._sent.generation:
+            updates += _since_generation(tables, self._sent.generation)
+        if tables.endpoints.version > self._sent.endpoints:
+            updates += _since_version(tables, self._sent.endpoints)
+        if tables.nodes.version > self._sent.nodes:
             updates.append(tables.nodes)
-        self.sent = SessionPing(
-            max(self.sent.generation, tables.configuration.generation),
-            max(self.sent.endpoints, tables.endpoints.version),
-            max(self.sent.nodes, tables.nodes.version),
-        )
+        newest = _Sent(tables.configuration.generation, tables.endpoints.version, tables.nodes.version)
+        self._sent = self._sent.raised_to(newest)
         return updates
+
+
+def _since_generation(
+    tables: Tables, generation: int
+) -> list[ConfigurationDelta] | list[ConfigurationUpdate]:
+    chain: list[ConfigurationDelta] = []
+    wanted = tables.configuration.generation
+    for delta in reversed(tables.configuration_deltas):
+        if delta.generation == wanted:
+            chain.append(delta)
+            wanted = delta.base
+            if wanted == generation:
+                return chain[::-1]
+    return [tables.configuration]
+
+
+def _since_version(tables: Tables, version: TableVersion) -> list[EndpointsDelta] | list[EndpointsUpdate]:
+    chain: list[EndpointsDelta] = []
+    wanted = tables.endpoints.version
+    for delta in reversed(tables.endpoints_deltas):
+        if delta.version == wanted:
+            chain.append(delta)
+            wanted = delta.base
+            if wanted == version:
+                return chain[::-1]
+    return [tables.endpoints]
--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -81,6 +81,21 @@
     endpoints: list[EndpointRecord]
 
 
+class ConfigurationDelta(Struct, tag=True, frozen=True):
+    """What changed from one generation to the next, as a patch."""
+
+    base: int
+    generation: int
+    patch: bytes  # JSON, in the form of the operator's PATCH
+
+
+class EndpointsDelta(Struct, tag=True, frozen=True):
+    base: TableVersion
+    version: TableVersion
+    changed: list[EndpointRecord]
+    removed: list[str]  # ids
+
+
 class NodesUpdate(Struct, tag=True, frozen=True):
     version: TableVersion
     nodes: list[NodeRecord]
@@ -88,6 +103,5 @@
     retirements: list[Retirement]
 
 
-SessionMessage = (
-    Hello | SessionOpen | SessionPing | SessionPong | ConfigurationUpdate | EndpointsUpdate | NodesUpdate
-)
+TableUpdate = ConfigurationUpdate | ConfigurationDelta | EndpointsUpdate | EndpointsDelta | NodesUpdate
+SessionMessage = Hello | SessionOpen | SessionPing | SessionPong | TableUpdate
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -7,15 +7,7 @@
 
 from eiderhub import address
 from eiderhub.control.distribution import Tables
-from eiderhub.control.messages import (
-    ConfigurationUpdate,
-    EndpointsUpdate,
-    NodeRecord,
-    NodesUpdate,
-    SessionOpen,
-    SessionPing,
-    SessionPong,
-)
+from eiderhub.control.messages import NodeRecord, SessionOpen, SessionPing, SessionPong, TableUpdate
 from eiderhub.transport.framing import Connection, Message, connect
 
 PING_S = 0.25
@@ -84,7 +76,7 @@
         if isinstance(message, SessionPong):
             if message.fresh:
                 self.fresh_at = asyncio.get_running_loop().time()
-        elif isinstance(message, ConfigurationUpdate | EndpointsUpdate | NodesUpdate):
+        elif isinstance(message, TableUpdate):
             if self._tables.apply(message):
                 self._on_update()
 
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,106 @@
+"""Distribution: a reader ends with the primary's tables, never goes back, and is sent changes."""
+
+from __future__ import annotations
+
+import json
+import random
+from typing import Any
+
+from eiderhub.control.distribution import KEPT_DELTAS, Subscriber, Tables
+from eiderhub.control.messages import (
+    ConfigurationDelta,
+    ConfigurationUpdate,
+    EndpointRecord,
+    EndpointsDelta,
+    EndpointsUpdate,
+    SessionPing,
+    TableVersion,
+)
+
+
+def configuration(generation: int, **timeouts: int) -> ConfigurationUpdate:
+    routes = [
+        {"name": n, "host": n, "path_prefix": "/", "timeout_ms": t, "backend": "s"}
+        for n, t in timeouts.items()
+    ]
+    document: dict[str, Any] = {"generation": generation, "routes": routes, "backends": [{"name": "s"}]}
+    return ConfigurationUpdate(generation, json.dumps(document, separators=(",", ":")).encode())
+
+
+def endpoint(number: int, ready: bool = True) -> EndpointRecord:
+    return EndpointRecord(f"i-{number:03}", "s", f"10.0.0.{number}:1", "z", ready, 8)
+
+
+def endpoints(number: int, *records: EndpointRecord) -> EndpointsUpdate:
+    return EndpointsUpdate(TableVersion(1, number), sorted(records, key=lambda r: r.id))
+
+
+def ping(tables: Tables) -> SessionPing:
+    return SessionPing(tables.configuration.generation, tables.endpoints.version, tables.nodes.version)
+
+
+def test_change_of_one_route_is_sent_as_a_change() -> None:
+    many = {f"r{n}": 1000 for n in range(20)}
+    primary, reader, subscriber = Tables(), Tables(), Subscriber()
+    primary.apply(configuration(3, **many))
+    (first,) = subscriber.pending(primary)
+    assert isinstance(first, ConfigurationUpdate)
+    reader.apply(first)
+    primary.apply(configuration(7, **many | {"r4": 5}))
+    (second,) = subscriber.pending(primary)
+    assert isinstance(second, ConfigurationDelta)
+    assert len(second.patch) < len(primary.configuration.document) / 5
+    assert reader.apply(second)
+    assert json.loads(reader.configuration.document) == json.loads(primary.configuration.document)
+    assert subscriber.pending(primary) == []
+
+
+def test_reader_never_goes_back_and_takes_no_change_of_another_state() -> None:
+    reader = Tables()
+    reader.apply(configuration(5, a=1))
+    assert not reader.apply(configuration(4, a=2))
+    assert not reader.apply(configuration(5, a=2))
+    assert not reader.apply(ConfigurationDelta(4, 9, b'{"generation":9}'))
+    assert not reader.apply(EndpointsDelta(TableVersion(1, 1), TableVersion(1, 2), [endpoint(1)], []))
+    assert reader.configuration == configuration(5, a=1)
+
+
+def test_subscriber_with_an_unknown_state_is_sent_the_whole_table() -> None:
+    primary = Tables()
+    for generation in range(1, 4):
+        primary.apply(configuration(generation, a=generation, **{f"r{n}": 1 for n in range(9)}))
+    subscriber = Subscriber()
+    subscriber.acknowledge(SessionPing(2, TableVersion(0, 0), TableVersion(0, 0)))
+    assert [type(u) for u in subscriber.pending(primary)] == [ConfigurationDelta]
+    other = Subscriber()
+    other.acknowledge(SessionPing(0, TableVersion(0, 0), TableVersion(0, 0)))
+    assert [type(u) for u in other.pending(primary)] == [ConfigurationUpdate]
+
+
+def test_readers_that_lag_and_reconnect_end_with_the_primarys_tables() -> None:
+    rng = random.Random(5)
+    primary, relay, reader = Tables(), Tables(), Tables()
+    to_relay, to_reader = Subscriber(), Subscriber()
+    timeouts = {f"r{n}": 1 for n in range(30)}
+    known = {n: endpoint(n) for n in range(40)}
+    kinds = set()
+    for step in range(1, 4 * KEPT_DELTAS):
+        timeouts[f"r{rng.randrange(30)}"] = step
+        known[rng.randrange(60)] = endpoint(rng.randrange(60), rng.random() < 0.8)
+        primary.apply(configuration(step, **timeouts))
+        primary.apply(endpoints(step, *{r.id: r for r in known.values()}.values()))
+        if rng.random() < 0.02:  # a new session: what was sent may be lost
+            to_relay, to_reader = Subscriber(), Subscriber()
+            to_relay.acknowledge(ping(relay))
+            to_reader.acknowledge(ping(reader))
+        for source, subscriber, target in ((primary, to_relay, relay), (relay, to_reader, reader)):
+            if rng.random() < 0.5:
+                for update in subscriber.pending(source):
+                    kinds.add(type(update))
+                    target.apply(update)
+    for source, subscriber, target in ((primary, to_relay, relay), (relay, to_reader, reader)):
+        for update in subscriber.pending(source):
+            target.apply(update)
+    assert json.loads(reader.configuration.document) == json.loads(primary.configuration.document)
+    assert reader.endpoints == primary.endpoints
+    assert {ConfigurationDelta, EndpointsDelta} <= kinds
