Reckon the tier's size: a model by role, and sidecars told as a number in the session table

Cause: a session table with 1,200 sidecars is 84 KB, sent whole each time a zone's sidecars go: several times 14 KB/s.

--- a/eiderhub/cli/capacity.py
+++ b/eiderhub/cli/capacity.py
@@ -6,7 +6,7 @@
 
 import click
 
-from eiderhub.capacity import model, table
+from eiderhub.capacity import model, table, tier
 from eiderhub.capacity.fleet import Fleet
 from eiderhub.capacity.slopes import Slope, Slopes
 from eiderhub.cli import screen
@@ -15,8 +15,12 @@
 REPOSITORY = Path(__file__).parents[2]
 FLEET = "deploy/fleet.toml"
 SLOPES = "docs/capacity/slopes.json"
+TIER_FLEET = "deploy/tier-fleet.toml"
+TIER_SLOPES = "docs/capacity/tier-slopes.json"
 REMEDY = {
     FLEET: "name another with --fleet FILE",
+    TIER_FLEET: "name another with --fleet FILE",
+    TIER_SLOPES: "name others with --slopes FILE",
     SLOPES: "measure them with `ottercleat bench slopes`, or name others with --slopes FILE",
 }
 
@@ -57,13 +61,16 @@
 @click.command("capacity")
 @click.option("--fleet", metavar="FILE", help=f"Counts, skew and budgets, in place of {FLEET}.")
 @click.option("--slopes", metavar="FILE", help=f"Measured costs, in place of {SLOPES}.")
+@click.option("--tier", "of_tier", is_flag=True, help="Of the serving tier, not of the in-service program.")
 @click.option("--json", "json_file", metavar="FILE", help="Write all figures there; - for standard output.")
-def command(fleet: str | None, slopes: str | None, json_file: str | None) -> int:
+def command(fleet: str | None, slopes: str | None, of_tier: bool, json_file: str | None) -> int:
     """Print what a fleet needs by role, each figure beside its budget, as Markdown tables.
 
     Exit status: 0 every budget holds, 1 one breaks.
     """
     screen.check_writable(json_file)
+    if of_tier:
+        return _tier(_file(fleet, TIER_FLEET), _file(slopes, TIER_SLOPES), json_file)
     of = read_fleet(_file(fleet, FLEET))
     measured = read_slopes(_file(slopes, SLOPES))
     found = model.capacity(of, measured)
@@ -71,3 +78,13 @@
     if json_file != "-":
         click.echo(table.page(of, measured, found), nl=False)
     return 1 if any(one.holds is False for one in found.figures) else 0
+
+
+def _tier(fleet_file: Path, slopes_file: Path, json_file: str | None) -> int:
+    of = convert(parse(fleet_file)[0], tier.TierFleet, str(fleet_file), people=True)
+    measured = convert(parse(slopes_file)[0], tier.TierSlopes, str(slopes_file), people=True)
+    found = tier.rows(of, measured)
+    screen.write_json(json_file, {"rows": [row._asdict() | {"holds": row.holds} for row in found]})
+    if json_file != "-":
+        click.echo(tier.page(of, measured), nl=False)
+    return 1 if any(row.holds is False for row in found) else 0
--- a/eiderhub/cli/tier.py
+++ b/eiderhub/cli/tier.py
@@ -71,7 +71,7 @@
     if code != 200 or as_json:
         return _print(code, body, "")
     told: dict[str, Any] = json.loads(body)
-    for key in ("node", "leads", "epoch", "version", "generation", "primary"):
+    for key in ("node", "leads", "epoch", "version", "generation", "primary", "sidecars"):
         print(f"{key:<12}{told[key]}")
     for node in told["nodes"]:
         print(f"  {node['role']:<9}{node['name']:<28}{node['zone']}")
--- a/eiderhub/control/distribution.py
+++ b/eiderhub/control/distribution.py
@@ -35,7 +35,7 @@
 
     configuration: ConfigurationUpdate = field(default_factory=lambda: ConfigurationUpdate(0, b""))
     endpoints: EndpointsUpdate = field(default_factory=lambda: EndpointsUpdate(UNKNOWN, []))
-    nodes: NodesUpdate = field(default_factory=lambda: NodesUpdate(UNKNOWN, [], [], []))
+    nodes: NodesUpdate = field(default_factory=lambda: NodesUpdate(UNKNOWN, [], 0, [], []))
     configuration_deltas: deque[ConfigurationDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
     endpoints_deltas: deque[EndpointsDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
 
--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -97,8 +97,11 @@
 
 
 class NodesUpdate(Struct, tag=True, frozen=True):
+    """Who is there: control and storage nodes by name, sidecars by their number alone."""
+
     version: TableVersion
     nodes: list[NodeRecord]
+    sidecars: int
     storage_group: list[str]  # the members that it was founded with; empty: not founded
     retirements: list[Retirement]
 
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -94,6 +94,7 @@
     generation: int
     primary: str
     members: list[str]
+    sidecars: int
     nodes: list[NodeStatus]
 
 
@@ -214,8 +215,8 @@
         """Begin with the session table as the last primary replicated it."""
         value = self._store.get(SESSIONS_KEY)
         if value is not None:
-            nodes = msgspec.json.decode(value, type=list[NodeRecord])
-            self._table.restore(self._now(), nodes)
+            nodes, sidecars = msgspec.json.decode(value, type=tuple[list[NodeRecord], int])
+            self._table.restore(self._now(), nodes, sidecars)
             self._publish_nodes()
 
     def _apply_configuration(self) -> None:
@@ -236,14 +237,15 @@
                 if self.group.leads() and self._now() - self._led_since > SETTLE_S:
                     await self._tend_storage()
                     if self._publish_nodes():
-                        nodes = msgspec.json.encode(self.tables.nodes.nodes)
-                        await self.group.write([Write(SESSIONS_KEY, nodes)])
+                        published = (self.tables.nodes.nodes, self.tables.nodes.sidecars)
+                        await self.group.write([Write(SESSIONS_KEY, msgspec.json.encode(published))])
             except (NotPrimary, CommitUnknown):
                 pass
 
     def _publish_nodes(self) -> bool:
         """Tell the sessions who is there, where that has changed."""
-        nodes = self._table.all(self._now())
+        nodes = self._table.named(self._now())
+        sidecars = self._table.sidecars(self._now())
         if self._node not in nodes:
             nodes = [*nodes, self._node]
         founded = self._founded()
@@ -251,8 +253,9 @@
             Retirement(name, record.identity, record.done) for name, record in self._retirements().items()
         ]
         current = self.tables.nodes
-        if (nodes, founded, retirements) != (current.nodes, current.storage_group, current.retirements):
-            self.tables.apply(NodesUpdate(self._next_version(), nodes, founded, retirements))
+        made = NodesUpdate(current.version, nodes, sidecars, founded, retirements)
+        if made != current:
+            self.tables.apply(msgspec.structs.replace(made, version=self._next_version()))
             self._push()
             return True
         return False
@@ -359,6 +362,7 @@
             generation=self.tables.configuration.generation,
             primary=replica.primary or "",
             members=sorted(replica.members),
+            sidecars=self.tables.nodes.sidecars,
             nodes=[NodeStatus(n.name, n.role, n.zone) for n in self.tables.nodes.nodes],
         )
         return Reply(HTTPStatus.OK, msgspec.json.encode(status))
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+import zlib
 from urllib.parse import parse_qs, urlsplit
 
 import picologging as logging
@@ -77,10 +78,11 @@
         if changed or self._endpoints_version != self.tables.endpoints.version:
             self._endpoints_version = self.tables.endpoints.version
             self._follow_services(self._routes)
-        names = sorted(node.name for node in self.tables.nodes.nodes if node.role == "edge")
-        if self._settings.node_name in names:
+        sidecars = self.tables.nodes.sidecars
+        if sidecars:
+            rank = zlib.crc32(self._settings.node_name.encode()) % sidecars
             for admission in self._admissions.values():
-                admission.follow_fleet(names.index(self._settings.node_name), len(names))
+                admission.follow_fleet(rank, sidecars)
 
     def _follow_services(self, table: RouteTable) -> None:
         listed: dict[str, list[EndpointRecord]] = {}
