--- /dev/null
+++ b/tests/test_tier_settings.py
@@ -0,0 +1,62 @@
+"""The settings file of the tier's programs: what is read, and how what is wrong is said."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from eiderhub.programs.settings import ENVIRONMENT_VARIABLE, load
+from eiderhub.reading import DocumentError
+
+WHOLE = {
+    "node_name": "edge-z-1", "ip": "10.0.0.1", "zone": "z", "region": "r", "zones.z": "r", "zones.y": "r",
+    "listen.frontend": "10.0.0.1:80", "port_range": "7720,7735", "seeds": "10.0.0.2:81, 10.0.0.3:81",
+    "bootstrap": "true", "limits.disk_mb": "64", "bounds.drain_ms": "3000", "unknown.key": "skipped",
+}  # fmt: skip
+
+
+def write(folder: Path, **changes: str | None) -> str:
+    lines = {
+        k: v
+        for k, v in (WHOLE | {k.replace("__", "."): v for k, v in changes.items()}).items()
+        if v is not None
+    }
+    file = folder / "boot.conf"
+    file.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
+    return str(file)
+
+
+def test_values_are_typed_and_unknown_keys_skipped(tmp_path: Path) -> None:
+    settings = load(write(tmp_path))
+    assert (settings.first_port, settings.last_port) == (7720, 7735)
+    assert settings.seeds == ["10.0.0.2:81", "10.0.0.3:81"]
+    assert settings.zones == {"z": "r", "y": "r"}
+    assert settings.bootstrap is True
+    assert (settings.control, settings.platform) == ("", "")
+
+
+@pytest.mark.parametrize(
+    ("changes", "says"),
+    [
+        ({"node_name": None}, "node_name: missing"),
+        ({"bootstrap": "perhaps"}, "bootstrap: must be bool; it is 'perhaps'"),
+        ({"limits__disk_mb": "much"}, "limits.disk_mb: must be float; it is 'much'"),
+        ({"port_range": "7720"}, "port_range: must be two ports: 7720,7735"),
+    ],
+)
+def test_wrong_value_is_one_line_with_file_key_and_remedy(
+    tmp_path: Path, changes: dict[str, str | None], says: str
+) -> None:
+    file = write(tmp_path, **changes)
+    with pytest.raises(DocumentError) as error:
+        load(file)
+    assert str(error.value) == f"{file}: {says}"
+
+
+def test_environment_names_the_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv(ENVIRONMENT_VARIABLE, write(tmp_path))
+    assert load().node_name == "edge-z-1"
+    monkeypatch.delenv(ENVIRONMENT_VARIABLE)
+    with pytest.raises(DocumentError, match="names no settings file"):
+        load()
