Stop a tenant everywhere when its spending cap runs out, while other tenants carry on

Ruled out: counting after the fact, which overshoots. Change: the control primary leases tokens of the cap, written before they are given; work is charged where it is taken; the end is published as a table. Routes of tenants without a cap pass as before.

--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -194,6 +194,10 @@
             Write(BODY_PREFIX + job_id, body),
         ]
 
+    def tokens(self, job_id: str) -> int:
+        """Of all items of a job."""
+        return int(sum(item.tokens for item in self.jobs[job_id].items.values()))
+
     def accepted(self, job_id: str) -> None:
         """The job is committed: its items may run."""
         self.jobs[job_id].committed = True
--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -20,7 +20,7 @@
 
 CURRENT_KEY = "config/current"
 TAKEN_PREFIX = "config/taken/"  # digest of the change that made a generation
-LISTS = ("routes", "backends")
+LISTS = ("routes", "backends", "tenants")
 
 Document = dict[str, Any]
 
@@ -91,11 +91,15 @@
     if error is not None:
         return _invalid(f"{error.json_path}: {error.message}"[:300])
     for kind in LISTS:
-        name, times = (
-            Counter(item["name"] for item in document[kind]).most_common(1)[0] if document[kind] else ("", 0)
-        )
-        if times > 1:
-            return _invalid(f"{kind}: {name} stands twice")
+        names = Counter(item["name"] for item in document.get(kind, []))
+        twice = [name for name, times in names.items() if times > 1]
+        if twice:
+            return _invalid(f"{kind}: {twice[0]} stands twice")
+    capped = Counter(
+        route for tenant in document.get("tenants", []) for route in set(tenant.get("routes", []))
+    )
+    if any(times > 1 for times in capped.values()):
+        return _invalid("tenants: a route belongs to two")
     known = {backend["name"] for backend in document["backends"]}
     places: set[tuple[str, str]] = set()
     for route in document["routes"]:
@@ -127,8 +131,10 @@
         new = {item["name"]: item for item in items}
         if len(new) != len(items):
             return _invalid(f"upsert.{kind}: a name stands twice")
-        kept = [new.pop(item["name"], item) for item in current[kind] if item["name"] not in names]
-        made[kind] = kept + [item for item in new.values() if item["name"] not in names]
+        kept = [new.pop(item["name"], item) for item in current.get(kind, []) if item["name"] not in names]
+        kept += [item for item in new.values() if item["name"] not in names]
+        if kept or kind in current:
+            made[kind] = kept
     if "limits" in upsert:
         made["limits"] = upsert["limits"]
     return Ok(made)
@@ -138,8 +144,8 @@
     """A patch that makes the new configuration of the old one; None where none can."""
     patch: Document = {"generation": new["generation"], "upsert": {}, "remove": {}}
     for kind in LISTS:
-        before = {item["name"]: item for item in old[kind]}
-        after = {item["name"]: item for item in new[kind]}
+        before = {item["name"]: item for item in old.get(kind, [])}
+        after = {item["name"]: item for item in new.get(kind, [])}
         changed = [item for name, item in after.items() if before.get(name) != item]
         removed = [name for name in before if name not in after]
         patch["upsert"] |= {kind: changed} if changed else {}
--- a/eiderhub/control/distribution.py
+++ b/eiderhub/control/distribution.py
@@ -21,6 +21,7 @@
     EndpointsUpdate,
     NodesUpdate,
     SessionPing,
+    SpendingUpdate,
     TableUpdate,
     TableVersion,
 )
@@ -36,6 +37,7 @@
     configuration: ConfigurationUpdate = field(default_factory=lambda: ConfigurationUpdate(0, b""))
     endpoints: EndpointsUpdate = field(default_factory=lambda: EndpointsUpdate(UNKNOWN, []))
     nodes: NodesUpdate = field(default_factory=lambda: NodesUpdate(UNKNOWN, [], 0, [], []))
+    spending: SpendingUpdate = field(default_factory=lambda: SpendingUpdate(UNKNOWN, []))
     configuration_deltas: deque[ConfigurationDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
     endpoints_deltas: deque[EndpointsDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
 
@@ -55,6 +57,10 @@
             if update.version <= self.nodes.version:
                 return False
             self.nodes = update
+        elif isinstance(update, SpendingUpdate):
+            if update.version <= self.spending.version:
+                return False
+            self.spending = update
         elif isinstance(update, ConfigurationDelta):
             return self._apply_configuration(update)
         else:
@@ -105,12 +111,14 @@
     generation: int
     endpoints: TableVersion
     nodes: TableVersion
+    spending: TableVersion
 
     def raised_to(self, other: _Sent) -> _Sent:
         return _Sent(
             max(self.generation, other.generation),
             max(self.endpoints, other.endpoints),
             max(self.nodes, other.nodes),
+            max(self.spending, other.spending),
         )
 
 
@@ -118,11 +126,11 @@
     """What one session has been sent and has acknowledged."""
 
     def __init__(self) -> None:
-        self._sent = _Sent(0, UNKNOWN, UNKNOWN)
-        self.acknowledged = _Sent(0, UNKNOWN, UNKNOWN)
+        self._sent = _Sent(0, UNKNOWN, UNKNOWN, UNKNOWN)
+        self.acknowledged = self._sent
 
     def acknowledge(self, ping: SessionPing) -> None:
-        self.acknowledged = _Sent(ping.generation, ping.endpoints, ping.nodes)
+        self.acknowledged = _Sent(ping.generation, ping.endpoints, ping.nodes, ping.spending)
         self._sent = self._sent.raised_to(self.acknowledged)
 
     def pending(self, tables: Tables) -> list[TableUpdate]:
@@ -134,7 +142,14 @@
             updates += _since_version(tables, self._sent.endpoints)
         if tables.nodes.version > self._sent.nodes:
             updates.append(tables.nodes)
-        newest = _Sent(tables.configuration.generation, tables.endpoints.version, tables.nodes.version)
+        if tables.spending.version > self._sent.spending:
+            updates.append(tables.spending)
+        newest = _Sent(
+            tables.configuration.generation,
+            tables.endpoints.version,
+            tables.nodes.version,
+            tables.spending.version,
+        )
         self._sent = self._sent.raised_to(newest)
         return updates
 
--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -60,6 +60,7 @@
     generation: int  # of the configuration in force
     endpoints: TableVersion
     nodes: TableVersion
+    spending: TableVersion = TableVersion(0, 0)
     attached: list[NodeRecord] = []  # sessions that a control node holds for the primary
     group: list[str] = []  # members of the storage group, from its primary
     group_synced: bool = False  # whether all of them have all that is committed
@@ -106,5 +107,29 @@
     retirements: list[Retirement]
 
 
-TableUpdate = ConfigurationUpdate | ConfigurationDelta | EndpointsUpdate | EndpointsDelta | NodesUpdate
-SessionMessage = Hello | SessionOpen | SessionPing | SessionPong | TableUpdate
+class SpendingUpdate(Struct, tag=True, frozen=True):
+    """The tenants whose spending cap has run out."""
+
+    version: TableVersion
+    exhausted: list[str]
+
+
+class LeaseRequest(Struct, tag=True, frozen=True):
+    """A process asks for tokens of a tenant's cap; below 0: it gives so many back, and no answer is due."""
+
+    origin: str  # set by the control node that passes it on to the primary
+    tenant: str
+    tokens: int
+
+
+class LeaseAnswer(Struct, tag=True, frozen=True):
+    origin: str
+    tenant: str
+    tokens: int
+    exhausted: bool
+
+
+TableUpdate = (
+    ConfigurationUpdate | ConfigurationDelta | EndpointsUpdate | EndpointsDelta | NodesUpdate | SpendingUpdate
+)
+SessionMessage = Hello | SessionOpen | SessionPing | SessionPong | TableUpdate | LeaseRequest | LeaseAnswer
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 from eiderhub.control.configuration import services_of
+from eiderhub.control.spending import tenants_of
 
 DEFAULT_ATTEMPTS = 1
 DEFAULT_CAPACITY = 8  # requests at once, where a service does not tell its endpoints'
@@ -61,6 +62,7 @@
         self._by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
             self._by_host.setdefault(route.host, []).append(route)
+        self.tenants = tenants_of(document)
         limits = document.get("limits", {})
         self.idle_timeout_s = float(limits.get("idle_timeout_ms", 15_000)) / 1000
         self.max_body_bytes = int(limits.get("max_body_bytes", 4 << 20))
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from http import HTTPStatus
 from typing import NamedTuple
@@ -21,16 +22,20 @@
     EndpointRecord,
     EndpointsUpdate,
     Hello,
+    LeaseAnswer,
+    LeaseRequest,
     NodeRecord,
     NodesUpdate,
     Retirement,
     SessionOpen,
     SessionPing,
     SessionPong,
+    SpendingUpdate,
     TableVersion,
 )
 from eiderhub.control.platform import PlatformReader, PlatformUnavailable
 from eiderhub.control.sessions import SessionTable
+from eiderhub.control.spending import LEASED_PREFIX, SpendingLedger, tenants_of
 from eiderhub.coordination.messages import (
     EpochAnswer,
     InstallSnapshot,
@@ -127,7 +132,13 @@
         self._storage_primary: SessionPing | None = None
         self._founding = False
         self._reader = PlatformReader(settings.platform) if settings.platform else None
-        self._session = ControlSession(node, self.tables, self._primary_address, self._push, self._describe)
+        self._ledger = SpendingLedger()
+        self._leasing: set[asyncio.Future[None]] = set()
+        self._passed_on: dict[str, tuple[Connection, str]] = {}  # lease requests on their way to the primary
+        self._serial = itertools.count(1)
+        self._session = ControlSession(
+            node, self.tables, self._primary_address, self._push, self._describe, self._on_lease_answer
+        )
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._publish()), loop.create_task(self._read_list())]
 
@@ -147,6 +158,10 @@
             self._sessions[connection] = Session(message.node, Subscriber())
         elif isinstance(message, SessionPing):
             self._on_ping(connection, message)
+        elif isinstance(message, LeaseRequest):
+            task = asyncio.ensure_future(self._lease(connection, message))
+            self._leasing.add(task)
+            task.add_done_callback(self._leasing.discard)
         elif isinstance(message, REPLICA_MESSAGES) and connection in self._replicas:
             self.group.received(self._replicas[connection].identity, message)
 
@@ -186,7 +201,7 @@
         told = self._storage_primary
         group, synced = (told.group, told.group_synced) if told else ([], False)
         self._storage_primary = None
-        return SessionPing(ping.generation, ping.endpoints, ping.nodes, attached, group, synced)
+        return msgspec.structs.replace(ping, attached=attached, group=group, group_synced=synced)
 
     def _push(self) -> None:
         for connection, session in list(self._sessions.items()):
@@ -209,6 +224,7 @@
             self._storage_primary = None
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
             self._restore_sessions()
+            self._ledger.load(dict(self._store.scan(LEASED_PREFIX)))
             self._apply_configuration()
 
     def _restore_sessions(self) -> None:
@@ -225,6 +241,44 @@
             generation = configuration.read(body).unwrap()["generation"]
             if self.tables.apply(ConfigurationUpdate(generation, body)):
                 self._push()
+            self._ledger.follow(tenants_of(configuration.read(body).unwrap()))
+            self._publish_spending()
+
+    # --- spending ---
+
+    async def _lease(self, connection: Connection, request: LeaseRequest) -> None:
+        """Lease tokens of a tenant's cap, or pass the request on to who leads."""
+        if not self.group.leads():
+            origin = f"{self._node.name} {next(self._serial)}"
+            if self._session.send(msgspec.structs.replace(request, origin=origin)):
+                self._passed_on[origin] = (connection, request.origin)
+            return
+        try:
+            if request.tokens < 0:
+                await self.group.write(self._ledger.give_back(request.tenant, -request.tokens))
+                self._publish_spending()
+                return
+            leased = self._ledger.lease(request.tenant, request.tokens)
+            if leased.writes:
+                await self.group.write(leased.writes)
+        except (NotPrimary, CommitUnknown):
+            return  # it asks again; what may have been leased counts as spent
+        connection.send(LeaseAnswer(request.origin, request.tenant, leased.tokens, leased.exhausted))
+        self._publish_spending()
+
+    def _on_lease_answer(self, answer: LeaseAnswer) -> None:
+        found = self._passed_on.pop(answer.origin, None)
+        if found is not None:
+            connection, origin = found
+            connection.send(msgspec.structs.replace(answer, origin=origin))
+
+    def _publish_spending(self) -> None:
+        """Have every process stop taking the work of tenants whose cap has run out."""
+        exhausted = self._ledger.exhausted()
+        if exhausted != self.tables.spending.exhausted:
+            self.tables.apply(SpendingUpdate(self._next_version(), exhausted))
+            self._push()
+            log.info("spending caps that have run out: %s", ", ".join(exhausted) or "none")
 
     def _next_version(self) -> TableVersion:
         self._number += 1
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -14,7 +14,7 @@
 from eiderhub.batch.messages import Answer
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind
-from eiderhub.control.messages import EndpointRecord, NodeRecord
+from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord
 from eiderhub.dataplane import routes
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
@@ -23,10 +23,12 @@
 from eiderhub.http1 import Exchange
 from eiderhub.programs.settings import TierSettings
 from eiderhub.transport.control_session import ControlSession, control_candidates
+from eiderhub.transport.spending import Charge, Spending
 
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
 TIMEOUT_MARGIN_MS = 25  # an answer leaves so long before the time is up
+EXHAUSTED_US = 60_000_000  # a cap that has run out is not raised sooner, as a rule
 STARTING_US = 600_000  # a sidecar that has just started has a configuration by then, as a rule
 JSON_HEADER = (b"Content-Type", b"application/json")
 
@@ -46,7 +48,10 @@
         self.draining = False
         self.open_requests = 0
         self.last_request = 0.0
-        self._session = ControlSession(self._node, self.tables, self._control_nodes, self._on_tables)
+        self._spending = Spending(self._ask_for_lease)
+        self._session = ControlSession(
+            self._node, self.tables, self._control_nodes, self._on_tables, on_lease=self._spending.answered
+        )
         self._runner = ItemRunner(settings.node_name, settings.zone, self, self._storage_nodes)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -57,6 +62,9 @@
         seeds = [f"{address.parse(s).host}:{port}" for s in self._settings.seeds]
         return control_candidates(self.tables, seeds, self._settings.zone, self._rng.shuffle)
 
+    def _ask_for_lease(self, request: LeaseRequest) -> bool:
+        return self._session.send(request)
+
     def _storage_nodes(self) -> list[str]:
         found = [
             node.identity.partition("@")[2]
@@ -75,6 +83,7 @@
             self._routes = routes.parse(configuration.generation, configuration.document)
         if self._routes is None:
             return
+        self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
         if changed or self._endpoints_version != self.tables.endpoints.version:
             self._endpoints_version = self.tables.endpoints.version
             self._follow_services(self._routes)
@@ -126,6 +135,8 @@
             exchange.answer(STATUS[ErrorKind.UNKNOWN])
         elif route.kind == "batch":
             self._start(self._submit(exchange, route))
+        elif (tenant := self._spending.tenant_of(route.name)) is not None:
+            self._start(self._pay_and_pass_on(exchange, route, tenant))
         else:
             self._pass_on(exchange, route)
 
@@ -134,6 +145,17 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _pay_and_pass_on(self, exchange: ClientExchange, route: Route, tenant: str) -> None:
+        """Take a request of a tenant that has a spending cap."""
+        tokens = sum(token_usage(exchange.headers.get(b"token-usage", b"").decode("latin-1")))
+        charge = await self._spending.charge(tenant, tokens)
+        if charge is Charge.PAID:
+            self._pass_on(exchange, route)
+        elif charge is Charge.EXHAUSTED:
+            exchange.refuse(ErrorKind.NO_ROOM, EXHAUSTED_US)
+        else:
+            exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
+
     def _pass_on(self, exchange: ClientExchange, route: Route) -> None:
         found = self.route_for(route.name)
         if found is None:
@@ -204,6 +226,7 @@
 
     def drain(self) -> None:
         self.draining = True
+        self._spending.give_back()
         self._runner.return_all()
 
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -29,7 +29,7 @@
 from eiderhub.batch.scheduler import Scheduler
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind, Refusal
-from eiderhub.control.messages import Hello, NodeRecord, SessionPing
+from eiderhub.control.messages import Hello, LeaseRequest, NodeRecord, SessionPing
 from eiderhub.coordination.messages import (
     EpochAnswer,
     InstallSnapshot,
@@ -46,6 +46,7 @@
 from eiderhub.transport.control_session import ControlSession, control_candidates
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary, address_of
+from eiderhub.transport.spending import Charge, Spending
 
 REPLICA_MESSAGES = (Replicate, InstallSnapshot, Replicated, RequestEpoch, EpochAnswer, TakeOver)
 CALLS = (Submit, ReadResults, ReadBody, EndJob)
@@ -79,7 +80,10 @@
         self._epoch = 0
         self._dispatch_from = 0.0
         self._next_hopeless = 0.0
-        self._session = ControlSession(node, self.tables, self._candidates, self._on_tables, self._describe)
+        self._spending = Spending(self._ask_for_lease)
+        self._session = ControlSession(
+            node, self.tables, self._candidates, self._on_tables, self._describe, self._spending.answered
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._dispatcher = asyncio.get_running_loop().create_task(self._dispatch_forever())
 
@@ -91,6 +95,9 @@
         seeds = [f"{address.parse(s).host}:{port}" for s in self._settings.seeds]
         return control_candidates(self.tables, seeds, self._settings.zone, self._rng.shuffle)
 
+    def _ask_for_lease(self, request: LeaseRequest) -> bool:
+        return self._session.send(request)
+
     def _describe(self, ping: SessionPing) -> SessionPing:
         if not self.group.leads():
             return ping
@@ -106,6 +113,8 @@
         ):
             self._routes = routes.parse(configuration.generation, configuration.document)
         self._follow_endpoints()
+        if self._routes is not None:
+            self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
         for node in nodes.nodes:
             if node.role == "storage" and node.identity:
                 self.group.know(address_of(node.identity))
@@ -258,6 +267,12 @@
         if isinstance(made, Refusal):
             return self._refused(message.call, made)
         if made:
+            refused = await self._pay(message)
+            if refused is not None:
+                self._jobs.forget(message.job)
+                return self._refused(message.call, refused)
+            if message.job not in self._jobs.jobs:
+                raise NotPrimary  # another epoch has begun while the job was being paid for
             try:
                 await self.group.write(made)
             except NotPrimary:
@@ -267,6 +282,17 @@
             self._dispatch()
         return Answer(message.call, 202)
 
+    async def _pay(self, message: Submit) -> Refusal | None:
+        """Charge a new job to its tenant; what is paid for runs, whatever becomes of the cap."""
+        tenant = self._spending.tenant_of(message.route)
+        if tenant is None:
+            return None
+        charge = await self._spending.charge(tenant, self._jobs.tokens(message.job))
+        if charge is Charge.PAID:
+            return None
+        kind = ErrorKind.NO_ROOM if charge is Charge.EXHAUSTED else ErrorKind.NOT_READY
+        return Refusal(kind, f"spending cap: {charge.value}")
+
     async def _read(self, message: ReadResults) -> Answer:
         until = self._now() + message.wait_ms / 1000
         while True:
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -7,7 +7,15 @@
 
 from eiderhub import address
 from eiderhub.control.distribution import Tables
-from eiderhub.control.messages import NodeRecord, SessionOpen, SessionPing, SessionPong, TableUpdate
+from eiderhub.control.messages import (
+    LeaseAnswer,
+    LeaseRequest,
+    NodeRecord,
+    SessionOpen,
+    SessionPing,
+    SessionPong,
+    TableUpdate,
+)
 from eiderhub.transport.framing import Connection, Message, connect
 
 PING_S = 0.25
@@ -25,17 +33,26 @@
         candidates: Callable[[], list[str]],
         on_update: Callable[[], None],
         describe: Callable[[SessionPing], SessionPing] = lambda ping: ping,
+        on_lease: Callable[[LeaseAnswer], None] = lambda answer: None,
     ) -> None:
         self._node = node
         self._tables = tables
         self._candidates = candidates
         self._on_update = on_update
         self._describe = describe
+        self._on_lease = on_lease
         self._ended = asyncio.Event()
         self.fresh_at = 0.0  # when a control node said last that it tells what is in force
         self.connection: Connection | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
+    def send(self, message: LeaseRequest) -> bool:
+        """Pass a message on; false where there is no session."""
+        if self.connection is None:
+            return False
+        self.connection.send(message)
+        return True
+
     def fresh(self) -> bool:
         return asyncio.get_running_loop().time() - self.fresh_at < STALE_S
 
@@ -67,7 +84,12 @@
 
     def _ping(self) -> SessionPing:
         tables = self._tables
-        ping = SessionPing(tables.configuration.generation, tables.endpoints.version, tables.nodes.version)
+        ping = SessionPing(
+            tables.configuration.generation,
+            tables.endpoints.version,
+            tables.nodes.version,
+            tables.spending.version,
+        )
         return self._describe(ping)
 
     def on_message(self, connection: Connection, message: Message) -> None:
@@ -76,6 +98,8 @@
         if isinstance(message, SessionPong):
             if message.fresh:
                 self.fresh_at = asyncio.get_running_loop().time()
+        elif isinstance(message, LeaseAnswer):
+            self._on_lease(message)
         elif isinstance(message, TableUpdate):
             if self._tables.apply(message):
                 self._on_update()
--- a/tests/features/tier.feature
+++ b/tests/features/tier.feature
@@ -37,3 +37,14 @@
     When the operator puts configuration 5 on top of 0
     Then every edge becomes ready
     And a sidecar that is told to stop ends the stream that it carries
+
+  Scenario: A spending cap runs out in the middle of the evening
+    Given a tier whose programs were all started together
+    When the operator puts a configuration in which one tenant has a cap
+    Then every edge becomes ready
+    And the tenant is served until its cap has run out, and no further
+    And every edge refuses the tenant at once, quick checks and batches alike
+    And another tenant is served at every edge, quick checks and batches alike
+    And what the tenant had under way came back exactly once
+    And the cap holds after the control primary was killed
+    And a raised cap lets the tenant spend again
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -5,6 +5,7 @@
 import signal
 import threading
 from collections.abc import Iterator
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -160,3 +161,94 @@
     asking.join()
     assert [(status, body) for status, body, _ in answers] == [(200, whole("r-stop"))]
     assert edge.process.wait(30.0) == 0
+
+
+CAP_TOKENS = 20_000
+REQUEST_TOKENS = 1_000
+
+
+def capped(generation: int, cap: int) -> dict[str, Any]:
+    """Two tenants with a live and a batch route each; one has a cap."""
+    batch = {"completion_window_ms": 10_000, "retention_s": 600, "max_queued_tokens": 0}
+    routes = [route("other-live"), route("other-lots", "batch", **batch)]
+    tenants = [
+        {"name": "capped", "routes": ["live", "lots"], "spending_cap_tokens": cap},
+        {"name": "other", "routes": ["other-live", "other-lots"]},
+    ]
+    return document(generation, *routes) | {"tenants": tenants}
+
+
+def answered(tier: Tier, edge: Program, request_id: str, status: int) -> bool:
+    return tier.ask(edge, "/live/x", request_id, tokens=1)[0] == status
+
+
+@pytest.fixture
+def evening() -> dict[str, Any]:
+    """What the capped tenant was answered, by request."""
+    return {}
+
+
+@when("the operator puts a configuration in which one tenant has a cap")
+def _(tier: Tier) -> None:
+    assert tier.put(capped(5, CAP_TOKENS), 0) == 200
+
+
+@then("the tenant is served until its cap has run out, and no further")
+def _(tier: Tier, evening: dict[str, Any]) -> None:
+    edges = tier.of("edge")
+    wait_until(lambda: tier.submit(edges[0], "job1", ITEMS) == 202, "the batch job taken")
+    spent = 20 * len(ITEMS)
+    for number in range(2 * CAP_TOKENS // REQUEST_TOKENS):
+        status, body, _ = tier.ask(edges[number % 2], "/live/x", f"r-{number}", tokens=REQUEST_TOKENS)
+        evening[f"r-{number}"] = (status, body)
+        if status == 200:
+            spent += REQUEST_TOKENS
+        else:
+            assert status == 429
+            break
+    assert spent <= CAP_TOKENS
+    assert spent > CAP_TOKENS / 2
+    assert evening[f"r-{number}"][0] == 429
+
+
+@then("every edge refuses the tenant at once, quick checks and batches alike")
+def _(tier: Tier) -> None:
+    for edge in tier.of("edge"):
+        wait_until(partial(answered, tier, edge, f"late-{edge.name}", 429), "refused")
+        assert tier.submit(edge, f"late-job-{edge.name}", ["late-item"]) == 429
+    assert not any(engine.runs["late-item"] for engine in tier.engines)
+
+
+@then("another tenant is served at every edge, quick checks and batches alike")
+def _(tier: Tier) -> None:
+    for number, edge in enumerate(tier.of("edge")):
+        assert tier.ask(edge, "/other-live/x", f"o-{number}", tokens=REQUEST_TOKENS)[0] == 200
+        assert tier.submit(edge, f"other-{number}", [f"o-item-{number}"], "/other-lots/") == 202
+        finished(tier, edge, f"other-{number}", 1)
+
+
+@then("what the tenant had under way came back exactly once")
+def _(tier: Tier, evening: dict[str, Any]) -> None:
+    page = finished(tier, tier.of("edge")[1], "job1", len(ITEMS))
+    assert sorted(result["id"] for result in page["results"]) == ITEMS
+    runs = sum((engine.runs for engine in tier.engines), start=type(tier.engines[0].runs)())
+    for request_id, (status, body) in evening.items():
+        assert (runs[request_id], body) == ((1, whole(request_id)) if status == 200 else (0, b""))
+
+
+@then("the cap holds after the control primary was killed")
+def _(tier: Tier) -> None:
+    leader = tier.leader("control")
+    others = [p for p in tier.of("control") if p is not leader]
+    before = sum(p.said("leads epoch") for p in others)
+    leader.stop()
+    wait_until(lambda: sum(p.said("leads epoch") for p in others) > before, "another control primary")
+    for edge in tier.of("edge"):
+        assert tier.ask(edge, "/live/x", f"after-{edge.name}", tokens=1)[0] == 429
+
+
+@then("a raised cap lets the tenant spend again")
+def _(tier: Tier) -> None:
+    assert tier.put(capped(7, 2 * CAP_TOKENS), 5) == 200
+    for edge in tier.of("edge"):
+        wait_until(partial(answered, tier, edge, f"again-{edge.name}", 200), "served again")
--- a/tests/tier_support.py
+++ b/tests/tier_support.py
@@ -301,16 +301,22 @@
         for edge in self.of("edge"):
             wait_until(partial(self.ready, edge), f"{edge.name} ready")
 
-    def ask(self, edge: Program, path: str, request_id: str) -> tuple[int, bytes, dict[str, str]]:
-        return self.call(
-            edge, "frontend", "POST", path, b"prompt", Host=HOST, Request_Id=request_id, Timeout_Ms="20000"
-        )
-
-    def submit(self, edge: Program, job: str, items: list[str]) -> int:
+    def ask(
+        self, edge: Program, path: str, request_id: str, tokens: int = 0
+    ) -> tuple[int, bytes, dict[str, str]]:
+        headers = {
+            "Host": HOST,
+            "Request_Id": request_id,
+            "Timeout_Ms": "20000",
+            "Token_Usage": f"{tokens},0",
+        }
+        return self.call(edge, "frontend", "POST", path, b"prompt", **headers)
+
+    def submit(self, edge: Program, job: str, items: list[str], prefix: str = "/lots/") -> int:
         requests = [
             {
                 "id": item,
-                "path": f"/lots/{item}",
+                "path": prefix + item,
                 "headers": {"Token-Usage": "10,10"},
                 "body": base64.b64encode(item.encode()).decode(),
                 "tokens": 20,
@@ -318,7 +324,7 @@
             for item in items
         ]
         body = json.dumps({"requests": requests}).encode()
-        return self.call(edge, "frontend", "POST", "/lots/x", body, Host=HOST, Request_Id=job)[0]
+        return self.call(edge, "frontend", "POST", prefix + "x", body, Host=HOST, Request_Id=job)[0]
 
     def results(self, edge: Program, job: str, start: int = 0) -> dict[str, Any] | None:
         path = f"/lots/{job}?start_after={start}"
