--- a/eiderhub/control/distribution.py
+++ b/eiderhub/control/distribution.py
@@ -31,10 +31,28 @@
 WHOLE_SHARE = 0.5  # a delta larger than this share of its table is not worth keeping
 
 
+class Configuration:
+    """One generation of the operator's configuration; its JSON is made where somebody needs it."""
+
+    __slots__ = ("_encoded", "document", "generation")
+
+    def __init__(
+        self, generation: int, document: configuration.Document, encoded: bytes | None = None
+    ) -> None:
+        self.generation = generation
+        self.document = document
+        self._encoded = encoded
+
+    def encoded(self) -> bytes:
+        if self._encoded is None:
+            self._encoded = _compact(self.document)
+        return self._encoded
+
+
 class Tables(Struct):
     """What a node has of the control plane's state, and the latest changes of it."""
 
-    configuration: ConfigurationUpdate = field(default_factory=lambda: ConfigurationUpdate(0, b""))
+    configuration: Configuration = field(default_factory=lambda: Configuration(0, {}))
     endpoints: EndpointsUpdate = field(default_factory=lambda: EndpointsUpdate(UNKNOWN, []))
     nodes: NodesUpdate = field(default_factory=lambda: NodesUpdate(UNKNOWN, [], 0, [], []))
     spending: SpendingUpdate = field(default_factory=lambda: SpendingUpdate(UNKNOWN, []))
@@ -46,8 +64,9 @@
         if isinstance(update, ConfigurationUpdate):
             if update.generation <= self.configuration.generation:
                 return False
-            self._note_configuration(self.configuration, update)
-            self.configuration = update
+            made = Configuration(update.generation, json.loads(update.document), update.document)
+            self._note_configuration(self.configuration, made)
+            self.configuration = made
         elif isinstance(update, EndpointsUpdate):
             if update.version <= self.endpoints.version:
                 return False
@@ -70,9 +89,8 @@
     def _apply_configuration(self, delta: ConfigurationDelta) -> bool:
         if delta.base != self.configuration.generation:
             return False
-        current = json.loads(self.configuration.document)
-        made = configuration.patched(current, json.loads(delta.patch)).unwrap()
-        self.configuration = ConfigurationUpdate(delta.generation, _compact(made))
+        made = configuration.patched(self.configuration.document, json.loads(delta.patch)).unwrap()
+        self.configuration = Configuration(delta.generation, made)
         self.configuration_deltas.append(delta)
         return True
 
@@ -87,11 +105,11 @@
         self.endpoints_deltas.append(delta)
         return True
 
-    def _note_configuration(self, old: ConfigurationUpdate, new: ConfigurationUpdate) -> None:
+    def _note_configuration(self, old: Configuration, new: Configuration) -> None:
         if not old.generation:
             return
-        patch = configuration.difference(json.loads(old.document), json.loads(new.document))
-        if patch is not None and len(body := _compact(patch)) < WHOLE_SHARE * len(new.document):
+        patch = configuration.difference(old.document, new.document)
+        if patch is not None and len(body := _compact(patch)) < WHOLE_SHARE * len(new.encoded()):
             self.configuration_deltas.append(ConfigurationDelta(old.generation, new.generation, body))
 
     def _note_endpoints(self, old: EndpointsUpdate, new: EndpointsUpdate) -> None:
@@ -165,7 +183,7 @@
             wanted = delta.base
             if wanted == generation:
                 return chain[::-1]
-    return [tables.configuration]
+    return [ConfigurationUpdate(tables.configuration.generation, tables.configuration.encoded())]
 
 
 def _since_version(tables: Tables, version: TableVersion) -> list[EndpointsDelta] | list[EndpointsUpdate]:
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from typing import Any, NamedTuple
 
@@ -75,10 +74,6 @@
         return None
 
 
-def parse(generation: int, body: bytes) -> RouteTable:
-    return RouteTable(generation, json.loads(body))
-
-
 def _route(item: dict[str, Any]) -> Route:
     timeout = float(item["timeout_ms"])
     return Route(
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -433,7 +433,8 @@
         body = self._store.get(CURRENT_KEY)
         if body is None:
             return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-        return Reply(HTTPStatus.OK, self.tables.configuration.document or body)
+        told = self.tables.configuration
+        return Reply(HTTPStatus.OK, told.encoded() if told.generation else body)
 
     async def _change(self, call: Call) -> Reply:
         base = call.base.strip().strip('"')
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -15,7 +15,6 @@
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind
 from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord
-from eiderhub.dataplane import routes
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
 from eiderhub.dataplane.items import ItemRunner, token_usage
@@ -80,7 +79,7 @@
             self._routes is None or self._routes.generation != configuration.generation
         )
         if changed:
-            self._routes = routes.parse(configuration.generation, configuration.document)
+            self._routes = RouteTable(configuration.generation, configuration.document)
         if self._routes is None:
             return
         self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -39,7 +39,6 @@
     TakeOver,
 )
 from eiderhub.coordination.replication import NOWHERE, GroupSize, Replica, copies_needed
-from eiderhub.dataplane import routes
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
@@ -111,7 +110,7 @@
         if configuration.generation and (
             self._routes is None or self._routes.generation != configuration.generation
         ):
-            self._routes = routes.parse(configuration.generation, configuration.document)
+            self._routes = RouteTable(configuration.generation, configuration.document)
         self._follow_endpoints()
         if self._routes is not None:
             self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -49,9 +49,9 @@
     primary.apply(configuration(7, **many | {"r4": 5}))
     (second,) = subscriber.pending(primary)
     assert isinstance(second, ConfigurationDelta)
-    assert len(second.patch) < len(primary.configuration.document) / 5
+    assert len(second.patch) < len(primary.configuration.encoded()) / 5
     assert reader.apply(second)
-    assert json.loads(reader.configuration.document) == json.loads(primary.configuration.document)
+    assert reader.configuration.document == primary.configuration.document
     assert subscriber.pending(primary) == []
 
 
@@ -62,7 +62,7 @@
     assert not reader.apply(configuration(5, a=2))
     assert not reader.apply(ConfigurationDelta(4, 9, b'{"generation":9}'))
     assert not reader.apply(EndpointsDelta(TableVersion(1, 1), TableVersion(1, 2), [endpoint(1)], []))
-    assert reader.configuration == configuration(5, a=1)
+    assert reader.configuration.encoded() == configuration(5, a=1).document
 
 
 def test_subscriber_with_an_unknown_state_is_sent_the_whole_table() -> None:
@@ -101,6 +101,6 @@
     for source, subscriber, target in ((primary, to_relay, relay), (relay, to_reader, reader)):
         for update in subscriber.pending(source):
             target.apply(update)
-    assert json.loads(reader.configuration.document) == json.loads(primary.configuration.document)
+    assert reader.configuration.document == primary.configuration.document
     assert reader.endpoints == primary.endpoints
     assert {ConfigurationDelta, EndpointsDelta} <= kinds
