--- /dev/null
+++ b/tests/test_capacity_tier.py
@@ -0,0 +1,71 @@
+"""The tier's size: the model's arithmetic, and the page beside the command."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from msgspec import structs
+
+from eiderhub.capacity.tier import DAY_S, TierFleet, TierSlopes, page, rows
+from eiderhub.reading import convert, parse
+
+REPOSITORY = Path(__file__).parents[1]
+FLEET = REPOSITORY / "deploy/tier-fleet.toml"
+SLOPES = REPOSITORY / "docs/capacity/tier-slopes.json"
+
+
+@pytest.fixture
+def fleet() -> TierFleet:
+    return convert(parse(FLEET)[0], TierFleet, str(FLEET), people=True)
+
+
+@pytest.fixture
+def slopes() -> TierSlopes:
+    return convert(parse(SLOPES)[0], TierSlopes, str(SLOPES), people=True)
+
+
+def test_the_stated_fleet_is_the_operators(fleet: TierFleet) -> None:
+    assert (fleet.sidecars, fleet.endpoints, fleet.accelerators) == (1200, 10_000, 80_000)
+    assert (fleet.requests_per_s, fleet.tokens_out_per_s) == (40_000, 13_000_000)
+    assert (fleet.items_per_day, fleet.lots_per_day, fleet.largest_lot) == (14_000_000, 2300, 690_000)
+    assert (fleet.tenants, fleet.models, fleet.regions, fleet.zones) == (1700, 39, 7, 18)
+    assert (fleet.changes_per_day, fleet.control_machines) == (15_000, 21)
+    assert (fleet.machines_failed_per_day, fleet.machines_restarted_per_day) == (65, 4400)
+    assert (fleet.budget.control_share, fleet.budget.control_mb) == (0.044, 256)
+    assert (fleet.budget.control_bytes_per_s, fleet.budget.in_force_s) == (14 * 1024, 15)
+
+
+def test_page_has_what_the_command_prints(fleet: TierFleet, slopes: TierSlopes) -> None:
+    command = [sys.executable, "-m", "eiderhub.cli", "capacity", "--tier"]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.stdout == page(fleet, slopes)
+    assert done.stdout in (REPOSITORY / "docs/CAPACITY.md").read_text()
+    assert done.returncode == int(any(row.holds is False for row in rows(fleet, slopes)))
+
+
+def test_nothing_falls_as_the_fleet_grows(fleet: TierFleet, slopes: TierSlopes) -> None:
+    counts = ("sidecars", "endpoints", "requests_per_s", "items_per_day", "tenants", "changes_per_day")
+    for name in counts:
+        grown = structs.replace(fleet, **{name: 2 * getattr(fleet, name)})
+        for before, after in zip(rows(fleet, slopes), rows(grown, slopes), strict=True):
+            if name == "sidecars" and "requests" in before.what:
+                continue  # the same requests over more sidecars
+            assert max(after.amounts) >= max(before.amounts), (name, before.role, before.what)
+
+
+def test_items_a_second_are_those_of_the_day(fleet: TierFleet, slopes: TierSlopes) -> None:
+    owner = next(row for row in rows(fleet, slopes) if (row.role, row.what) == ("batch owner", "processor"))
+    assert owner.amounts[0] == pytest.approx(14e6 / DAY_S * slopes.storage_item_us / 1e6)
+
+
+def test_bad_fleet_is_one_plain_error(tmp_path: Path) -> None:
+    file = tmp_path / "fleet.toml"
+    file.write_text(FLEET.read_text().replace("sidecars = 1200", "sidecars = 0"))
+    command = [sys.executable, "-m", "eiderhub.cli", "capacity", "--tier", "--fleet", str(file)]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2
+    assert "sidecars" in done.stderr
+    assert "Traceback" not in done.stderr
