--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 $(VENV)/bin/python:
 	$(PYTHON) -m venv $(VENV)
 
-$(VENV)/lab: requirements.txt requirements-lab.txt pyproject.toml | $(VENV)/bin/python
+$(VENV)/lab: requirements.txt requirements-tier.txt requirements-lab.txt pyproject.toml | $(VENV)/bin/python
 	$(PIP) -r requirements-lab.txt
 	$(PIP) --no-deps -e .
 	touch $@
