Parse nothing after a whole answer; hand its head over as it stood at the answer's end

Change: an answer's head is a tuple made once, later headers are trailers and dropped, the first byte of another message ends the connection; an interim answer is skipped; an answer without an id is ours only as a failure on a connection that carried nothing else; a call that may have run and may not be repeated is never refused with a promise.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -150,7 +150,7 @@
         self.started_us = now_us
         self._first_us = 0
         self._status = 0
-        self._headers: Headers = []
+        self._headers: Headers = ()
         self._body: list[bytes] = []
         self._size = 0
         self._parser: EventParser | None = None
@@ -158,15 +158,25 @@
         self._activity = admission.activity(endpoint)
         self._activity.sent(call.tokens[0])
 
-    def on_head(self, status: int, headers: Headers) -> None:
+    def on_head(self, status: int, headers: Headers, reused: bool) -> None:
         named = {name.lower(): value for name, value in headers}
-        if named.get(b"request-id", self._call.request_id) != self._call.request_id:
-            self._broken()  # the answer to another request
+        if not self._is_ours(named.get(b"request-id"), status, reused):
+            self._broken()
             return
         self._status, self._headers = status, headers
         if status == 200 and named.get(b"content-type", b"").startswith(b"text/event-stream"):
             self._parser = EventParser()
 
+    def _is_ours(self, answered: bytes | None, status: int, reused: bool) -> bool:
+        """Whether the answer is to this request: endpoints echo its id.
+
+        A failure without an id is ours where nothing else was ever asked on its connection; anywhere else it
+        may be the late second answer to the request before.
+        """
+        if answered is None:
+            return not self._call.request_id or (status >= 300 and not reused)
+        return answered == self._call.request_id
+
     def on_data(self, data: bytes) -> None:
         if self.over:
             return
@@ -484,7 +494,8 @@
         if made is None:
             return
         self.refused += 1
-        if made.begun or made.response is not None:
+        # Danger: a refusal promises that the call never ran; one that may have run is given up.
+        if made.begun or made.response is not None or (made.ran and not made.route.repeatable):
             self._give_up(made)
         elif self._close(made):
             made.sink.refuse(ErrorKind.NOT_READY, wait_us)
--- a/eiderhub/dataplane/engine.py
+++ b/eiderhub/dataplane/engine.py
@@ -2,6 +2,9 @@
 
 A request is written once, to one connection. What is told of its end is as fine as the socket allows: a
 request that has surely not left may be sent elsewhere.
+
+An answer's head is handed over whole and never changes afterwards. Bytes that follow a whole answer belong to
+no request: they are never parsed, and their connection is closed.
 """
 
 from __future__ import annotations
@@ -20,13 +23,14 @@
 MOST_HEAD = 64 << 10
 MOST_IDLE = 64  # idle connections kept to one endpoint
 
-Headers = list[tuple[bytes, bytes]]
+Headers = tuple[tuple[bytes, bytes], ...]
 
 
 class Listener(Protocol):
     """Who made a request of an endpoint."""
 
-    def on_head(self, status: int, headers: Headers) -> None: ...
+    def on_head(self, status: int, headers: Headers, reused: bool) -> None:
+        """`reused`: the connection has carried another request before."""
 
     def on_data(self, data: bytes) -> None: ...
 
@@ -42,12 +46,8 @@
         self._pool = pool
         self._listener: Listener | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: Headers = []
-        self._head_bytes = 0
-        self._has_end = False  # whether the answer's framing tells where it ends
-        self._finished = False
-        self._keep = False
-        self._keep_s = KEEP_S
+        self._reset()
+        self.exchanges = 0  # requests written to it
         self.idle_until = 0.0
         self.lost = False
 
@@ -63,13 +63,17 @@
     def ask(self, data: bytes, listener: Listener) -> None:
         self._listener = listener
         self._reset()
+        self.exchanges += 1
         self._transport.write(data)
 
     def _reset(self) -> None:
-        self._headers = []
+        self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
-        self._has_end = False
+        self._head_whole = False
+        self._has_end = False  # whether the answer's framing tells where it ends
         self._finished = False
+        self._keep = False
+        self._keep_s = KEEP_S
 
     def close(self) -> None:
         """Give the exchange up; its listener hears no more."""
@@ -97,7 +101,7 @@
             if not self._finished:
                 self._fail()
                 return
-            self._keep_s = 0.0
+            self._keep = False
         if self._finished:
             self._complete()
 
@@ -119,13 +123,15 @@
     # --- the parser's calls ---
 
     def on_message_begin(self) -> None:
-        if self._finished:  # bytes after the answer belong to no request
-            self._keep_s = 0.0
+        if self._finished:
+            raise ValueError("bytes after a whole answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MOST_HEAD:
             raise ValueError("the head is too long")
+        if self._head_whole:
+            return  # a trailer
         self._headers.append((name, value))
         lower = name.lower()
         if lower in (b"content-length", b"transfer-encoding"):
@@ -134,19 +140,29 @@
             self._keep_s = _keep_alive(value)
 
     def on_headers_complete(self) -> None:
-        if self._listener is not None and not self._finished:
-            self._listener.on_head(self._parser.get_status_code(), self._headers)
+        if self._is_interim():
+            return
+        self._head_whole = True
+        if self._listener is not None:
+            self._listener.on_head(self._parser.get_status_code(), tuple(self._headers), self.exchanges > 1)
 
     def on_body(self, body: bytes) -> None:
-        if self._listener is not None and not self._finished:
+        if self._listener is not None:
             self._listener.on_data(body)
 
     def on_message_complete(self) -> None:
+        if self._is_interim():
+            self._reset()
+            return
         if not self._has_end and self._parser.get_status_code() not in (204, 304):
             raise ValueError("an answer without an end")
         self._finished = True
         self._keep = self._parser.should_keep_alive()
 
+    def _is_interim(self) -> bool:
+        """Whether it is a 1xx answer: the final one follows."""
+        return bool(self._parser.get_status_code() < 200)
+
 
 def _keep_alive(value: bytes) -> float:
     for part in value.split(b","):
@@ -252,9 +268,9 @@
         self._listener = listener
         self._exchange = exchange
 
-    def on_head(self, status: int, headers: Headers) -> None:
+    def on_head(self, status: int, headers: Headers, reused: bool) -> None:
         if not self._exchange.dropped:
-            self._listener.on_head(status, headers)
+            self._listener.on_head(status, headers, reused)
 
     def on_data(self, data: bytes) -> None:
         if not self._exchange.dropped:
--- a/eiderhub/scale/frontends.py
+++ b/eiderhub/scale/frontends.py
@@ -54,7 +54,7 @@
     draining = False
 
     def serve(self, exchange: ClientExchange) -> None:
-        exchange.begin([(b"Content-Type", b"text/event-stream")])
+        exchange.begin(((b"Content-Type", b"text/event-stream"),))
         self._next(exchange, 0)
 
     def _next(self, exchange: ClientExchange, number: int) -> None:
--- /dev/null
+++ b/tests/engine_support.py
@@ -0,0 +1,180 @@
+"""Endpoints that answer as a test scripts them, on real sockets, and admission in front of them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from eiderhub.control.errors import ErrorKind
+from eiderhub.control.messages import EndpointRecord
+from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.engine import Headers
+from eiderhub.dataplane.events import Event
+from eiderhub.dataplane.frontend import request_head
+from eiderhub.dataplane.routes import Route
+
+BOUND_S = 20.0
+SERVICE = "svc"
+
+
+class Request:
+    """One request as an endpoint has read it, and the means to answer it."""
+
+    def __init__(
+        self, endpoint: ScriptedEndpoint, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> None:
+        self.endpoint = endpoint
+        self.writer = writer
+        self.headers = headers
+
+    @property
+    def id(self) -> str:
+        return self.headers.get("request-id", "")
+
+    def answer(self, body: bytes = b"ok", status: int = 200, **fields: str) -> bytes:
+        """A whole answer as bytes: signed, with the request's id, unless fields say otherwise."""
+        named = {"Request-Id": self.id, "Response-Signature": f"{self.endpoint.identity}.{self.id}"}
+        named |= {name.replace("_", "-"): value for name, value in fields.items()}
+        lines = [f"HTTP/1.1 {status} Status"] + [f"{k}: {v}" for k, v in named.items() if v]
+        lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def reset(self) -> None:
+        self.writer.transport.abort()
+
+
+Script = Callable[[Request], Awaitable[None]]
+
+
+async def answer_whole(request: Request) -> None:
+    request.send(request.answer())
+
+
+class ScriptedEndpoint:
+    """Counts the requests that it has read whole; its script deals with each."""
+
+    def __init__(self, identity: str, script: Script = answer_whole) -> None:
+        self.identity = identity
+        self.script = script
+        self.requests: list[str] = []
+        self.connections = 0
+        self.arrived = asyncio.Event()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                pairs = [line.split(": ", 1) for line in head.split("\r\n")[1:] if line]
+                headers = {name.lower(): value for name, value in pairs}
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                self.requests.append(headers.get("request-id", ""))
+                self.arrived.set()
+                await self.script(Request(self, writer, headers))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        self._server.close()
+
+    @property
+    def record(self) -> EndpointRecord:
+        return EndpointRecord(self.identity, SERVICE, self.address, "z", True, 8)
+
+
+class Recorder:
+    """Implements admission's `Sink`: notes the one end of a call."""
+
+    def __init__(self) -> None:
+        self.ended = asyncio.Event()
+        self.status = 0
+        self.headers: Headers = ()
+        self.body = b""
+        self.events: list[Event] = []
+        self.refusal: ErrorKind | None = None
+        self.whole = False
+        self.ends = 0
+
+    def _end(self) -> None:
+        self.ends += 1
+        self.ended.set()
+
+    def begin(self, headers: Headers) -> None:
+        self.status, self.headers = 200, headers
+
+    def event(self, event: Event) -> None:
+        self.events.append(event)
+
+    def finish(self) -> None:
+        self.whole = True
+        self._end()
+
+    def break_off(self) -> None:
+        self._end()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        self.status, self.headers, self.body = status, headers, body
+        self.whole = True
+        self._end()
+
+    def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
+        self.refusal = kind
+        self._end()
+
+    def signatures(self) -> list[bytes]:
+        return [value for name, value in self.headers if name.lower() == b"response-signature"]
+
+
+def route_of(kind: str, max_attempts: int = 3, resumable: bool = False, timeout_ms: float = 3000.0) -> Route:
+    services = ((SERVICE, 1.0),)
+    return Route("r", "h", "/", kind, timeout_ms, 500.0, 0, max_attempts, resumable, services, 0.0, 0.0, 0.0)
+
+
+class Bench:
+    """Admission of one service in front of scripted endpoints."""
+
+    def __init__(self, *endpoints: ScriptedEndpoint) -> None:
+        self.endpoints = endpoints
+
+    async def start(self, route: Route) -> None:
+        for endpoint in self.endpoints:
+            await endpoint.start()
+        self.route = route
+        self.admission = Admission(SERVICE, 8, "z", random.Random(1))
+        self.admission.follow_endpoints([endpoint.record for endpoint in self.endpoints])
+        self.admission.follow_routes([route], 8)
+
+    def send(self, request_id: str) -> Recorder:
+        sink = Recorder()
+        headers = {b"host": b"h", b"request-id": request_id.encode()}
+        head = request_head(b"POST", b"/x", headers, b"body")
+        due_us = self.admission.now_us() + int(self.route.timeout_ms * 1000)
+        call = Call(request_id, self.route, request_id.encode(), (head, b"body"), due_us, "t", (1, 1), sink)
+        self.admission.order(call)
+        return sink
+
+    async def ask(self, request_id: str) -> Recorder:
+        """One request, to its end."""
+        sink = self.send(request_id)
+        async with asyncio.timeout(BOUND_S):
+            await sink.ended.wait()
+        return sink
+
+    def runs(self, request_id: str) -> int:
+        """How many endpoints have read the request."""
+        return sum(endpoint.requests.count(request_id) for endpoint in self.endpoints)
+
+    def stop(self) -> None:
+        self.admission.follow_endpoints([])
+        for endpoint in self.endpoints:
+            endpoint.stop()
