--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -20,6 +20,9 @@
 
 CURRENT_KEY = "config/current"
 TAKEN_PREFIX = "config/taken/"  # digest of the change that made a generation
+FORGOTTEN_KEY = "config/forgotten"  # the last generation whose change is remembered no more
+KEPT_CHANGES = 20_000  # changes that are remembered, so that one that is sent again is known
+PURGED_CHANGES = 500  # that are forgotten at once
 LISTS = ("routes", "backends", "tenants")
 
 Document = dict[str, Any]
@@ -78,6 +81,11 @@
     return Ok(document) if isinstance(document, dict) else _invalid("no JSON object")
 
 
+def generation_of(body: bytes) -> int:
+    """Of a configuration that has been checked."""
+    return int(read(body).unwrap()["generation"])
+
+
 def services_of(route: Document) -> list[tuple[str, float]]:
     """The services that a route names, with their weights."""
     if route.get("weighted_backends"):
@@ -156,18 +164,20 @@
 
 
 def decide(
-    current: Document | None, taken: bytes | None, change: Change, document: Document
+    current: Document | None, taken: bytes | None, forgotten: int, change: Change, document: Document
 ) -> Result[Accepted, Refusal]:
     """What becomes of a change on top of the newest configuration.
 
-    `taken` is the digest of the change that made the generation which this one asks for; `document` is the
-    change's own body as read.
+    `taken` is the digest of the change that made the generation which this one asks for, `forgotten` the last
+    generation of which that is not known any more; `document` is the change's own body as read.
     """
     generation = document.get("generation")
     if not isinstance(generation, int) or isinstance(generation, bool):
         return _invalid("generation: must be a whole number")
     if taken == change.digest:
         return Ok(Accepted(generation, []))
+    if generation <= forgotten and change.base < generation:
+        return Err(Refusal(ErrorKind.UNCERTAIN, f"generation {generation} is too long ago to tell"))
     newest = current["generation"] if current else 0
     if change.base != newest:
         return Err(Refusal(ErrorKind.STALE_VERSION, f"generation {newest} is in place"))
@@ -185,3 +195,18 @@
         Write(f"{TAKEN_PREFIX}{generation}", change.digest),
     ]
     return Ok(Accepted(generation, writes))
+
+
+def purge(taken: list[int], accepted: Accepted) -> list[Write]:
+    """What to write so that a bounded number of changes is remembered; `taken` are their generations, rising.
+
+    A change that is forgotten and sent again gets no clear answer: it can't be told from one that lost a
+    race, and one that was taken must not be refused.
+    """
+    if not accepted.writes or len(taken) < KEPT_CHANGES + PURGED_CHANGES:
+        return []
+    old = taken[:PURGED_CHANGES]
+    return [
+        *(Write(f"{TAKEN_PREFIX}{generation}", None) for generation in old),
+        Write(FORGOTTEN_KEY, str(old[-1]).encode()),
+    ]
--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -38,7 +38,7 @@
     """A storage node that is to be emptied."""
 
     node: str
-    identity: str  # of its replica
+    identities: list[str]  # of its replica, and of those that came in its place when its disk was lost
     done: bool
 
 
@@ -54,6 +54,14 @@
     node: NodeRecord
 
 
+class StorageReport(Struct, array_like=True, frozen=True):
+    """What the storage group's primary tells of its group, all of it committed."""
+
+    members: list[str]
+    barred: list[str]  # identities that the group will never admit
+    synced: bool  # whether all members have all that is committed
+
+
 class SessionPing(Struct, tag=True, frozen=True):
     """Keeps a session alive and acknowledges what has been applied."""
 
@@ -62,14 +70,18 @@
     nodes: TableVersion
     spending: TableVersion = TableVersion(0, 0)
     attached: list[NodeRecord] = []  # sessions that a control node holds for the primary
-    group: list[str] = []  # members of the storage group, from its primary
-    group_synced: bool = False  # whether all of them have all that is committed
+    group: StorageReport | None = None  # from the storage group's primary
+    sent_at: float = 0.0  # sender's clock, in seconds; returned with the answer
 
 
 class SessionPong(Struct, tag=True, frozen=True):
-    """`fresh`: what this session is told is what the primary has now."""
+    """What this session has been sent before it is what the primary had `age_s` seconds ago, or newer.
+
+    None: the control node can't tell.
+    """
 
-    fresh: bool
+    sent_at: float  # of the ping that it answers
+    age_s: float | None
 
 
 class ConfigurationUpdate(Struct, tag=True, frozen=True):
--- a/eiderhub/coordination/messages.py
+++ b/eiderhub/coordination/messages.py
@@ -14,6 +14,13 @@
     version: int
 
 
+class Staged(NamedTuple):
+    """How much of a snapshot a replica has: the state at `position`, of the keys up to `through`."""
+
+    position: Position
+    through: str
+
+
 class Write(Struct, array_like=True, frozen=True):
     """One key's new value; None removes the key."""
 
@@ -38,23 +45,30 @@
     sent_at: float  # primary's clock, in seconds; returned with the answer
 
 
-class InstallSnapshot(Struct, tag=True, frozen=True):
-    """Primary to replica: the whole state at `position`."""
+class SnapshotChunk(Struct, tag=True, frozen=True):
+    """Primary to replica: the entries behind the key `after`, up to the key `through`, at `position`.
+
+    Updates that the primary makes between two chunks are sent between them.
+    """
 
     epoch: int
     position: Position
+    after: str  # empty: the snapshot begins
+    through: str
     entries: list[Write]
+    last: bool
     committed: int
     sent_at: float
 
 
 class Replicated(Struct, tag=True, frozen=True):
-    """Replica to primary: what it has synced. `gap`: the updates did not follow what it has."""
+    """Replica to primary: what it has synced. `gap`: what was sent did not follow what it has."""
 
     epoch: int
     position: Position
     sent_at: float
     gap: bool = False
+    staged: Staged | None = None
 
 
 class RequestEpoch(Struct, tag=True, frozen=True):
@@ -83,4 +97,5 @@
     epoch: int
 
 
-ReplicaMessage = Replicate | InstallSnapshot | Replicated | RequestEpoch | EpochAnswer | TakeOver
+ReplicaMessage = Replicate | SnapshotChunk | Replicated | RequestEpoch | EpochAnswer | TakeOver
+REPLICA_MESSAGES = (Replicate, SnapshotChunk, Replicated, RequestEpoch, EpochAnswer, TakeOver)
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -4,7 +4,7 @@
 witness of a replica stores the epoch that it has granted last and nothing else; the replica stores the state
 itself and how far it has come. There is no log: a replica that is too far behind is sent the whole state.
 
-Guarantees, each held by tests/test_replication.py:
+Guarantees, each held by tests/test_replication.py and the planted faults of tests/test_planted_faults.py:
 
 * one primary acknowledges writes in an epoch;
 * a write is committed once a majority of the members has synced it, and every later primary has it;
@@ -14,54 +14,38 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from collections.abc import Iterable
 from enum import Enum
-from typing import NamedTuple, Protocol
-
-import msgspec
-
+from typing import NamedTuple
+
+from eiderhub.coordination.catch_up import CHUNK_BYTES, History, Peer, SnapshotTransfer
+from eiderhub.coordination.lease import Lease
+from eiderhub.coordination.membership import (
+    BARRED_KEY,
+    MEMBERS_KEY,
+    GroupView,
+    decode_identities,
+    encode_identities,
+    next_change,
+    next_learner,
+    wants_learner,
+)
 from eiderhub.coordination.messages import (
     EpochAnswer,
-    InstallSnapshot,
     Position,
     ReplicaMessage,
     Replicate,
     Replicated,
     RequestEpoch,
+    SnapshotChunk,
+    Staged,
     TakeOver,
     Update,
     Write,
 )
-
-MEMBERS_KEY = "group/members"
-NOWHERE = Position(0, 0)
-HISTORY_UPDATES = 512  # recent updates kept in memory for replicas that are a little behind
-TRANSFER_S = 1.5  # a planned transfer is given up after so long
-
-
-class Timing(NamedTuple):
-    """Seconds. The lease must be shorter than the least election wait."""
-
-    heartbeat: float = 0.1
-    lease: float = 0.35
-    election_least: float = 0.45
-    election_spread: float = 0.25
-    first_election: float = 0.1  # wait of a replica that was started lately, on the mean
-    replace_after: float = 1.5  # a member that is silent for so long is replaced, where another can be
-    remove_after: float = 6.0  # and leaves the group after so long, where none can
-
-
-def copies_needed(losses: int) -> int:
-    """Members of a group that keeps a majority when so many are lost."""
-    return 2 * losses + 1
-
-
-class GroupSize(NamedTuple):
-    """How many members a group has."""
-
-    target: int | None = None  # live members that are wanted; None: all that want to belong
-    least: int = 3  # no member is removed unless so many live ones remain
+from eiderhub.coordination.store import NOWHERE, ReplicaStore, StoreFailed
+from eiderhub.coordination.timing import GroupSize, Timing, majority
+from eiderhub.coordination.witness import WitnessView, judge
 
 
 class Role(Enum):
@@ -70,46 +54,6 @@
     PRIMARY = "primary"
 
 
-class StoreFailed(Exception):
-    """The state could not be made durable; nothing of the call has taken effect."""
-
-
-class ReplicaStore(Protocol):
-    """Durable state of one replica. Each method returns once its effect would outlive a loss of power.
-
-    Raises:
-        StoreFailed: nothing has changed.
-    """
-
-    @property
-    def epoch(self) -> int: ...
-
-    @property
-    def position(self) -> Position: ...
-
-    def grant(self, epoch: int) -> None: ...
-
-    def apply(self, updates: list[Update]) -> None: ...
-
-    def install(self, position: Position, entries: Iterable[Write]) -> None: ...
-
-    def get(self, key: str) -> bytes | None: ...
-
-    def entries(self) -> list[Write]: ...
-
-
-class Peer:
-    """What a primary knows of another replica."""
-
-    __slots__ = ("caught_up_at", "heard", "matched", "sent")
-
-    def __init__(self, now: float) -> None:
-        self.caught_up_at = 0.0  # when it was last sent all that it lacked
-        self.heard = now  # when it answered last
-        self.matched: Position | None = None  # synced there, as told in this epoch
-        self.sent: Position | None = None  # sent up to here on this connection; None: ask first
-
-
 class Outgoing(NamedTuple):
     recipient: str
     message: ReplicaMessage
@@ -131,32 +75,33 @@
         self.store = store
         self.timing = timing or Timing()
         self.candidates: list[str] = []  # replicas that want to belong, the one preferred first
-        self._size = size or GroupSize()
         self.outbox: list[Outgoing] = []
         self.role = Role.BACKUP
         self.primary: str | None = None  # of the epoch that this replica follows
         self.committed = 0  # version; not stored: told by the primary
+        self._size = size or GroupSize()
         self._random = rng
-        self._members = self._read_members()
+        self._read_group()
         self._last_heard = now  # from a primary
         self._started_at = now
         self._election_at = now + self._wait(now)
+        # as a candidate
         self._votes: set[str] = set()
         self._unled: set[str] = set()  # members that follow nobody, and were started again lately
         self._trial = False
         self._asked_epoch = 0
+        # as a primary
         self._peers: dict[str, Peer] = {}
-        self._confirmed: dict[str, float] = {}  # sent time of the newest heartbeat that each member answered
-        self._history: deque[Update] = deque(maxlen=HISTORY_UPDATES)
+        self._lease = Lease(identity, self.timing)
+        self._history = History(NOWHERE)
         self._first_version = 0  # of this primary's own epoch
-        self._opened_at = NOWHERE  # where that epoch began
         self._led_since = 0.0
-        self._transfer_until = 0.0  # a transfer that has not come about by then is off
+        self._transfer_until: float | None = None  # a transfer of leadership is under way until then
         self._next_heartbeat = 0.0
         self._learners: set[str] = set()
         self._given_up: dict[str, float] = {}  # when a learner last had not caught up
-        self._leaving: set[str] = set()
-        self._stopped_leading = False
+        self._replaced: set[str] = set()
+        self._retiring: set[str] = set()
 
     # --- what others may ask ---
 
@@ -172,15 +117,24 @@
     def members(self) -> frozenset[str]:
         return self._members
 
+    @property
+    def barred(self) -> frozenset[str]:
+        """Identities that no primary of this group will ever admit."""
+        return self._barred
+
     def leads(self, now: float) -> bool:
         """Whether this replica is the primary for certain: reads may be answered from its state."""
         return (
             self.role is Role.PRIMARY
-            and not self._stopped_leading
-            and self.committed >= self._first_version
-            and now < self._lease_end()
+            and self._transfer_until is None
+            and self._epoch_is_committed()
+            and now < self._lease.end(self._members)
         )
 
+    def settled(self, now: float) -> bool:
+        """Primary: whether all of its state, its members included, is committed."""
+        return self.leads(now) and self.committed == self.position.version
+
     def synced(self, identity: str) -> bool:
         """Primary: whether that replica has all that is committed."""
         peer = self._peers.get(identity)
@@ -193,22 +147,26 @@
     def bootstrap(self, members: Iterable[str]) -> None:
         """First start of a new group: all its members are told the same."""
         if self.position == NOWHERE and not self._members:
-            first = Update(Position(1, 1), [Write(MEMBERS_KEY, msgspec.json.encode(sorted(members)))])
+            first = Update(Position(1, 1), [Write(MEMBERS_KEY, encode_identities(list(members)))])
             self.store.apply([first])
             self.store.grant(1)
-            self._members = self._read_members()
+            self._read_group()
 
     def connected(self, now: float, identity: str) -> None:
         """A new connection to the replica: what was sent on the old one may be lost."""
         peer = self._peers.get(identity)
         if peer is not None:
-            peer.sent = None
+            peer.disconnected()
             if self.role is Role.PRIMARY:
                 self._probe(now, identity, peer)
 
     def expel(self, identity: str) -> None:
-        """A member that is to leave: its disk is gone, or it retires."""
-        self._leaving.add(identity)
+        """A member whose disk is gone: another replica has taken its place."""
+        self._replaced.add(identity)
+
+    def retire(self, identity: str) -> None:
+        """A replica that is to leave for good, a member or not."""
+        self._retiring.add(identity)
 
     def propose(self, now: float, writes: list[Write]) -> Position:
         """Primary: make writes durable here and send them to the others; committed later, or never.
@@ -225,8 +183,8 @@
         except StoreFailed:
             self._step_down(now)
             raise
-        self._history.append(update)
-        self._noticed(writes)
+        self._history.add(update)
+        self._note(writes)
         for identity, peer in self._peers.items():
             if peer.sent == previous:
                 self._send(identity, self._replicate(now, previous, [update]))
@@ -236,21 +194,20 @@
 
     def transfer(self, now: float) -> bool:
         """Primary: hand over to the backup that has all; false where none has."""
-        if self.role is not Role.PRIMARY:
+        if self.role is not Role.PRIMARY or self._transfer_until is not None:
             return False
-        fit = [
-            i
-            for i in sorted(self._members - {self.identity} - self._leaving)
-            if i in self._peers and self._peers[i].matched == self.position
-            and now - self._peers[i].heard < self.timing.lease
-        ]  # fmt: skip
+        fit = [i for i in sorted(self._members - {self.identity} - self._leaving()) if self._is_fit(now, i)]
         if not fit:
             return False
-        self._stopped_leading = True
-        self._transfer_until = now + TRANSFER_S
+        self._transfer_until = now + self.timing.transfer
         self._send(self._random.choice(fit), TakeOver(self.epoch))
         return True
 
+    def _is_fit(self, now: float, identity: str) -> bool:
+        """Whether a member could lead at once."""
+        peer = self._peers.get(identity)
+        return peer is not None and peer.matched == self.position and now - peer.heard < self.timing.lease
+
     def tick(self, now: float) -> None:
         """Let time pass; at least as often as the heartbeat."""
         try:
@@ -262,18 +219,29 @@
             self._step_down(now)
 
     def _tick_primary(self, now: float) -> None:
-        if now >= self._transfer_until:
-            self._stopped_leading = False
+        if self._transfer_until is not None and now >= self._transfer_until:
+            self._take_back(now)
+            return
         if now >= self._next_heartbeat:
             self._heartbeat(now)
-        if now - max(self._majority_heard(), self._led_since) > 2 * self.timing.election_least:
+        heard = max(self._lease.majority_heard(self._members), self._led_since)
+        if now - heard > 2 * self.timing.election_least:
             self._step_down(now)
             return
         self._tend_members(now)
 
+    def _take_back(self, now: float) -> None:
+        """The transfer has not come about.
+
+        Danger: whoever was to take over may still do so, and the witnesses let it without waiting for a
+        lease. So this replica never leads again in the epoch that it gave away: it asks for the next one.
+        """
+        self._step_down(now)
+        self._stand(now, trial=False, transfer=True)
+
     def receive(self, now: float, sender: str, message: ReplicaMessage) -> None:
         try:
-            if isinstance(message, Replicate | InstallSnapshot):
+            if isinstance(message, Replicate | SnapshotChunk):
                 self._from_primary(now, sender, message)
             elif isinstance(message, Replicated):
                 self._on_replicated(now, sender, message)
@@ -288,8 +256,8 @@
 
     # --- backup ---
 
-    def _from_primary(self, now: float, sender: str, message: Replicate | InstallSnapshot) -> None:
-        if message.epoch < self.epoch:
+    def _from_primary(self, now: float, sender: str, message: Replicate | SnapshotChunk) -> None:
+        if self._is_outdated(message):
             self._send(sender, Replicated(self.epoch, self.position, message.sent_at, gap=True))
             return
         if message.epoch > self.epoch:
@@ -299,34 +267,82 @@
         self.primary = sender
         self._last_heard = now
         self._election_at = now + self._wait(now)
-        gap = False
-        if isinstance(message, InstallSnapshot):
-            if self.position != message.position:
-                self.store.install(message.position, message.entries)
-                self._members = self._read_members()
-        elif message.previous == self.position:
-            if message.updates:
-                self.store.apply(message.updates)
-                for update in message.updates:
-                    self._noticed(update.writes)
+        if isinstance(message, SnapshotChunk):
+            follows = self._take_chunk(message)
         else:
-            gap = not any(u.position == self.position for u in message.updates)
-            rest = [u for u in message.updates if u.position.version > self.position.version]
-            if not gap and rest:
-                self.store.apply(rest)
-                for update in rest:
-                    self._noticed(update.writes)
-        if not gap:
+            follows = self._take_updates(message)
+        if follows and self.position >= self._told_position(message):
             self.committed = max(self.committed, min(message.committed, self.position.version))
-        self._send(sender, Replicated(self.epoch, self.position, message.sent_at, gap))
+        answer = Replicated(self.epoch, self.position, message.sent_at, not follows, self.store.staged)
+        self._send(sender, answer)
+
+    def _is_outdated(self, message: Replicate | SnapshotChunk) -> bool:
+        """Whether it comes from a primary whose epoch has passed."""
+        return message.epoch < self.epoch
+
+    @staticmethod
+    def _told_position(message: Replicate | SnapshotChunk) -> Position:
+        """The state that the message leads to."""
+        if isinstance(message, SnapshotChunk):
+            return message.position
+        return message.updates[-1].position if message.updates else message.previous
+
+    def _take_updates(self, message: Replicate) -> bool:
+        """Apply what follows the own state or the staged one; false where there is a gap."""
+        if self._follows(message.previous):
+            if message.updates:
+                self.store.apply(message.updates)
+                self._note([write for update in message.updates for write in update.writes])
+            return True
+        staged = self.store.staged
+        if staged is not None and message.previous == staged.position:
+            if message.updates:
+                self.store.stage_updates(message.updates)
+            return True
+        own = [index for index, update in enumerate(message.updates) if update.position == self.position]
+        if not own:
+            return False
+        rest = message.updates[own[0] + 1 :]
+        if rest:
+            self.store.apply(rest)
+            self._note([write for update in rest for write in update.writes])
+        return True
 
-    def _noticed(self, writes: list[Write]) -> None:
-        if any(w.key == MEMBERS_KEY for w in writes):
-            self._members = self._read_members()
+    def _follows(self, previous: Position) -> bool:
+        """Whether what follows that state follows the own one."""
+        return previous == self.position
 
-    def _read_members(self) -> frozenset[str]:
-        value = self.store.get(MEMBERS_KEY)
-        return frozenset(msgspec.json.decode(value, type=list[str])) if value else frozenset()
+    def _take_chunk(self, chunk: SnapshotChunk) -> bool:
+        """Stage a part of a snapshot, and install the snapshot once it is whole; false: there is a gap."""
+        if self._is_behind_us(chunk):
+            return True
+        if not self._continues(chunk):
+            return False
+        self.store.stage(chunk.entries, Staged(chunk.position, chunk.through), first=not chunk.after)
+        if chunk.last:
+            self.store.install_staged()
+            self._read_group()
+        return True
+
+    def _is_behind_us(self, chunk: SnapshotChunk) -> bool:
+        """Whether this replica already has what the snapshot leads to.
+
+        Danger: bytes of an old connection may be read after those of a new one. A state that the primary
+        counts as synced must never be replaced by an older one.
+        """
+        return self.position.epoch == chunk.epoch and self.position >= chunk.position
+
+    def _continues(self, chunk: SnapshotChunk) -> bool:
+        """Whether the chunk begins a snapshot or follows what is staged."""
+        return not chunk.after or self.store.staged == Staged(chunk.position, chunk.after)
+
+    def _note(self, writes: list[Write]) -> None:
+        if any(write.key in (MEMBERS_KEY, BARRED_KEY) for write in writes):
+            self._read_group()
+
+    def _read_group(self) -> None:
+        self._members = decode_identities(self.store.get(MEMBERS_KEY))
+        self._barred = decode_identities(self.store.get(BARRED_KEY))
 
     # --- witness and candidate ---
 
@@ -335,8 +351,17 @@
             return self.timing.first_election * (0.5 + self._random.random())
         return self.timing.election_least + self.timing.election_spread * self._random.random()
 
-    def _majority(self) -> int:
-        return len(self._members) // 2 + 1
+    def _witness_view(self, now: float) -> WitnessView:
+        followed_for = None if self.primary is None else now - self._last_heard
+        leads = (
+            self.role is Role.PRIMARY
+            and now < self._lease.end(self._members)
+            and self._transfer_until is None
+        )
+        return WitnessView(self.epoch, self.position, followed_for, leads, now - self._started_at)
+
+    def _young(self, now: float) -> bool:
+        return now - self._started_at < self.timing.lease
 
     def _stand(self, now: float, trial: bool, transfer: bool = False, unled: bool = False) -> None:
         """Ask the witnesses for the next epoch; first whether they would grant it."""
@@ -355,70 +380,65 @@
         self._count(now)
 
     def _on_request(self, now: float, sender: str, message: RequestEpoch) -> None:
-        follows = self.primary is not None and now - self._last_heard < self.timing.election_least
-        leads = self.role is Role.PRIMARY and now < self._lease_end() and not self._stopped_leading
-        willing = (
-            message.epoch > self.epoch
-            and message.position >= self.position
-            and (message.transfer or not (follows or leads))
-        )
-        granted = willing and (message.unled or not self._young(now))
-        if willing:
+        verdict = judge(self._witness_view(now), message, self.timing)
+        if verdict.granted or verdict.young:
             # Danger: where all that are left must grant, two that stand at once undo each other.
             self._election_at = now + self._wait(now)
-        if granted and not message.trial:
+        if verdict.granted and not message.trial:
             if self.role is not Role.BACKUP:
                 self._step_down(now)
             self.store.grant(message.epoch)
             self.primary = None
-        young = willing and not granted
-        self._send(sender, EpochAnswer(message.epoch, granted, message.trial, self.epoch, young))
-
-    def _young(self, now: float) -> bool:
-        """Whether a primary that this witness answered before its start may still have its lease."""
-        return now - self._started_at < self.timing.lease
+        answer = EpochAnswer(message.epoch, verdict.granted, message.trial, self.epoch, verdict.young)
+        self._send(sender, answer)
 
     def _on_answer(self, now: float, sender: str, message: EpochAnswer) -> None:
-        if message.young and message.trial and self._trial and message.epoch == self._asked_epoch:
+        current = message.epoch == self._asked_epoch and message.trial == self._trial
+        if message.young and message.trial and current and self.role is Role.BACKUP:
             self._unled.add(sender)
             self._count(now)
-            return
-        if not message.granted:
-            if message.highest > self.epoch and self.role is Role.CANDIDATE:
-                self.store.grant(message.highest)
-                self._step_down(now)
-            elif message.highest > self.epoch and message.trial and self.role is Role.BACKUP:
-                # Others have moved on while we were away; ask above their epoch next time.
-                self.store.grant(message.highest)
-            return
-        current = message.epoch == self._asked_epoch and message.trial == self._trial
-        if current and self.role is not Role.PRIMARY and sender in self._members:
+        elif not message.granted:
+            self._on_refusal(now, message)
+        elif current and self.role is not Role.PRIMARY and sender in self._members:
             self._votes.add(sender)
             self._count(now)
 
+    def _on_refusal(self, now: float, message: EpochAnswer) -> None:
+        """Others have moved on while we were away: ask above their epoch next time."""
+        if message.highest <= self.epoch:
+            return
+        if self.role is Role.CANDIDATE:
+            self.store.grant(message.highest)
+            self._step_down(now)
+        elif message.trial and self.role is Role.BACKUP:
+            self.store.grant(message.highest)
+
     def _count(self, now: float) -> None:
-        if self._trial and self.role is Role.BACKUP and self._members <= self._votes | self._unled:
-            if self._young(now) or self._unled:
-                self._stand(now, trial=False, unled=True)
-                return
-        if len(self._votes & self._members) < self._majority() or (self._trial and self._young(now)):
+        if self._trial and self.role is Role.BACKUP and self._nobody_is_led(now):
+            self._stand(now, trial=False, unled=True)
+            return
+        if len(self._votes & self._members) < majority(len(self._members)):
             return
         if self._trial:
-            if self._asked_epoch == self.epoch + 1:
+            if self._asked_epoch == self.epoch + 1 and not self._young(now):
                 self._stand(now, trial=False)
         elif self.epoch == self._asked_epoch and self.role is Role.CANDIDATE:
             self._lead(now)
 
+    def _nobody_is_led(self, now: float) -> bool:
+        """Whether no lease can run, as every member has said that it follows nobody."""
+        needed = self._young(now) or bool(self._unled)
+        return needed and self._members <= self._votes | self._unled
+
     # --- primary ---
 
     def _lead(self, now: float) -> None:
         self.role = Role.PRIMARY
         self.primary = self.identity
-        self._stopped_leading = False
+        self._transfer_until = None
         self._peers = {i: Peer(now) for i in (self._members | self._learners) - {self.identity}}
-        self._confirmed = {}
-        self._history.clear()
-        self._opened_at = self.position
+        self._lease = Lease(self.identity, self.timing)
+        self._history = History(self.position)
         self._first_version = self.position.version + 1
         self._led_since = now
         self._heartbeat(now)
@@ -428,21 +448,14 @@
     def _step_down(self, now: float) -> None:
         self.role = Role.BACKUP
         self.primary = None
+        self._transfer_until = None
         self._peers = {}
         self._votes = set()
         self._election_at = now + self._wait(now)
 
-    def _lease_end(self) -> float:
-        return self._majority_heard() + self.timing.lease
-
-    def _majority_heard(self) -> float:
-        """When the latest heartbeat was sent that a majority has answered."""
-        times = sorted((self._confirmed.get(i, 0.0) for i in self._members - {self.identity}), reverse=True)
-        own = 1 if self.identity in self._members else 0
-        others = self._majority() - own
-        if others <= 0:
-            return float("inf")
-        return times[others - 1] if others <= len(times) else 0.0
+    def _epoch_is_committed(self) -> bool:
+        """Whether this epoch's first write is committed, and with it all that earlier epochs left."""
+        return self.committed >= self._first_version
 
     def _heartbeat(self, now: float) -> None:
         self._next_heartbeat = now + self.timing.heartbeat
@@ -464,127 +477,148 @@
         if self.role is not Role.PRIMARY or peer is None or message.epoch != self.epoch:
             return
         peer.heard = now
-        self._confirmed[sender] = max(self._confirmed.get(sender, 0.0), message.sent_at)
+        self._lease.confirm(sender, message.sent_at)
         if message.gap and peer.sent is not None and message.sent_at < peer.caught_up_at:
             return  # answers what was sent before that
         if message.gap or peer.sent is None:
-            self._catch_up(now, sender, peer, message.position)
+            self._catch_up(now, sender, peer, message)
             return
-        if self._known(message.position):
+        if self._knows(message.position):
             peer.matched = message.position
             self._advance()
+        if peer.transfer is not None:
+            self._go_on(now, sender, peer, peer.transfer, message)
 
-    def _known(self, position: Position) -> bool:
+    def _knows(self, position: Position) -> bool:
         """Whether the replica's state at this position is a state that ours has been in."""
-        if position == self.position:
-            return True
-        return any(u.position == position for u in reversed(self._history))
-
-    def _catch_up(self, now: float, identity: str, peer: Peer, position: Position) -> None:
-        updates = list(self._history)
-        first = next((i for i, u in enumerate(updates) if u.position == position), None)
-        if position == self.position:
-            rest: list[Update] | None = []
-        elif first is not None:
-            rest = updates[first + 1 :]
-        elif updates and self._before_history(position):
-            rest = updates
-        else:
-            rest = None
-        peer.sent = self.position
+        return position == self.position or self._history.knows(position)
+
+    def _catch_up(self, now: float, identity: str, peer: Peer, told: Replicated) -> None:
+        """Send a replica what it lacks, from the state on that it says it has."""
         peer.caught_up_at = now
+        peer.transfer = None
+        rest = [] if told.position == self.position else self._history.since(told.position)
         if rest is None:
-            entries = self.store.entries()
-            self._send(identity, InstallSnapshot(self.epoch, self.position, entries, self.committed, now))
+            self._begin_snapshot(now, identity, peer, told.staged)
             return
-        peer.matched = position
+        peer.matched = told.position
+        peer.sent = self.position
         if rest:
-            self._send(identity, self._replicate(now, position, rest))
+            self._send(identity, self._replicate(now, told.position, rest))
         self._advance()
 
-    def _before_history(self, position: Position) -> bool:
-        """Whether it is the state that this epoch began with."""
-        return (
-            self._history[0].position.version == self._first_version
-            and position.version == self._first_version - 1
-            and position == self._opened_at
-        )
+    def _begin_snapshot(self, now: float, identity: str, peer: Peer, staged: Staged | None) -> None:
+        """Begin a snapshot, or go on with what the replica has of one."""
+        missed = self._history.since(staged.position) if staged is not None else None
+        peer.transfer = SnapshotTransfer(staged if missed is not None else None)
+        peer.sent = self.position
+        if staged is not None and missed:
+            self._send(identity, self._replicate(now, staged.position, missed))
+        self._send_chunks(now, identity, peer.transfer)
+
+    def _go_on(
+        self, now: float, identity: str, peer: Peer, transfer: SnapshotTransfer, told: Replicated
+    ) -> None:
+        """A replica has answered while a snapshot is on its way to it."""
+        if peer.matched == told.position:
+            peer.transfer = None  # it is whole
+        elif transfer.is_lost(told):
+            self._catch_up(now, identity, peer, told)
+        elif told.staged is not None:
+            transfer.answered(told.staged.through)
+            self._send_chunks(now, identity, transfer)
+
+    def _send_chunks(self, now: float, identity: str, transfer: SnapshotTransfer) -> None:
+        while transfer.may_send:
+            after = transfer.through
+            chunk = self.store.chunk(after, CHUNK_BYTES)
+            transfer.sent(now, chunk)
+            through, last = chunk.through, chunk.last
+            message = SnapshotChunk(
+                self.epoch, self.position, after, through, chunk.entries, last, self.committed, now
+            )
+            self._send(identity, message)
 
     def _advance(self) -> None:
+        """Count what a majority of the members has synced as committed.
+
+        Danger: a majority may have synced what an earlier epoch wrote, and another primary may still
+        overwrite it; only what this epoch wrote on top commits it.
+        """
         versions = [self.position.version] if self.identity in self._members else []
         for identity in self._members - {self.identity}:
             peer = self._peers.get(identity)
             versions.append(peer.matched.version if peer and peer.matched else 0)
         versions.sort(reverse=True)
-        reached = versions[self._majority() - 1] if len(versions) >= self._majority() else 0
-        if reached >= self._first_version:
+        needed = majority(len(self._members))
+        reached = versions[needed - 1] if len(versions) >= needed else 0
+        if self._commits(reached):
             self.committed = max(self.committed, reached)
 
+    def _commits(self, version: int) -> bool:
+        """Whether a version that a majority has synced is committed by that."""
+        return version >= self._first_version
+
+    # --- membership ---
+
+    def _leaving(self) -> frozenset[str]:
+        return self._barred | self._retiring | self._replaced
+
+    def _view(self, now: float) -> GroupView:
+        silent = {i for i in self._members if self._silent(now, i, self.timing.replace_after)}
+        return GroupView(
+            identity=self.identity,
+            members=self._members,
+            barred=self._barred,
+            retiring=frozenset(self._retiring),
+            replaced=frozenset(self._replaced),
+            silent=frozenset(silent),
+            synced=self.synced,
+            heard=lambda identity: not self._silent(now, identity, self.timing.lease),
+        )
+
+    def _may_change_members(self, now: float) -> bool:
+        """Whether a change would be on top of a committed state: one change at a time."""
+        return self.settled(now)
+
     def _tend_members(self, now: float) -> None:
-        """One change of membership at a time, each on top of a committed state."""
-        settled = self.committed == self.position.version and not self._stopped_leading
-        if not settled or now >= self._lease_end():
+        if not self._may_change_members(now):
             return
-        live = {
-            i for i in self._members - self._leaving if not self._silent(now, i, self.timing.replace_after)
-        }
-        for identity in sorted(self._learners):
-            if self._admit(now, identity):
-                return
-        if len(live) + len(self._learners) < (self._size.target or len(live) + 1):
-            self._teach(now)
-        if len(live) >= self._size.least and all(self.synced(i) for i in live):
-            self._drop_one(now, live)
-        if self.identity in self._leaving and len(live) >= self._size.least:
+        view = self._view(now)
+        self._drop_learners(now, view)
+        change = next_change(view, self._learners, self._size)
+        if change is not None:
+            self.propose(now, change.writes(view))
+            self._learners -= change.members
+            for removed in view.members - change.members:
+                self._peers.pop(removed, None)
+            return
+        if wants_learner(view, self._learners, self._size):
+            self._teach(now, view)
+        if self.identity in view.leaving and len(view.live) >= self._size.least:
             self.transfer(now)
 
-    def _teach(self, now: float) -> None:
-        """Have the first of those that want to belong catch up."""
-        # Danger: one that never catches up, its disk being full, would keep all others out.
-        for identity in sorted(self.candidates, key=lambda i: self._given_up.get(i, 0.0)):
-            if identity not in self._members | self._learners | self._leaving:
-                self._learners.add(identity)
-                self._peers[identity] = Peer(now)
-                self._probe(now, identity, self._peers[identity])
-                return
-
-    def _admit(self, now: float, identity: str) -> bool:
-        """Make a learner a member once it has all that is committed."""
-        peer = self._peers.setdefault(identity, Peer(now))
-        if (
-            identity in self._members
-            or identity in self._leaving
-            or now - peer.heard > self.timing.replace_after
-        ):
-            self._learners.discard(identity)
-            if identity not in self._members:
-                self._given_up[identity] = now
-                del self._peers[identity]
-            return False
-        caught_up = peer.matched is not None and peer.matched.version >= self.committed
-        if not caught_up or now - peer.heard >= self.timing.lease:
-            return False
-        self._learners.discard(identity)
-        self._set_members(now, self._members | {identity})
-        return True
-
-    def _drop_one(self, now: float, live: set[str]) -> None:
-        """Remove a member that leaves, or that is silent where enough others are there in its place."""
-        replaced = self._size.target is not None and len(live) >= self._size.target
-        for identity in sorted(self._members - live - {self.identity}):
-            long_gone = self._silent(now, identity, self.timing.remove_after)
-            if identity in self._leaving or replaced or long_gone:
-                self._set_members(now, self._members - {identity})
-                self._peers.pop(identity, None)
-                return
+    def _teach(self, now: float, view: GroupView) -> None:
+        learner = next_learner(view, self._learners, self.candidates, self._given_up)
+        if learner is not None:
+            self._learners.add(learner)
+            self._peers[learner] = Peer(now)
+            self._probe(now, learner, self._peers[learner])
+
+    def _drop_learners(self, now: float, view: GroupView) -> None:
+        """Give up learners that are silent or must leave."""
+        for learner in sorted(self._learners):
+            silent = self._silent(now, learner, self.timing.replace_after)
+            if silent or learner in view.leaving or learner in view.members:
+                self._learners.discard(learner)
+                if learner not in view.members:
+                    self._given_up[learner] = now
+                    self._peers.pop(learner, None)
 
     def _silent(self, now: float, identity: str, for_s: float) -> bool:
         if identity == self.identity:
             return False
         return now - self._peers.setdefault(identity, Peer(now)).heard > for_s
 
-    def _set_members(self, now: float, members: frozenset[str]) -> None:
-        self.propose(now, [Write(MEMBERS_KEY, msgspec.json.encode(sorted(members)))])
-
     def _send(self, recipient: str, message: ReplicaMessage) -> None:
         self.outbox.append(Outgoing(recipient, message))
--- a/eiderhub/programs/control.py
+++ b/eiderhub/programs/control.py
@@ -47,7 +47,7 @@
     # Imported here: the replica takes part in its group meanwhile, and no call is due before it leads.
     from eiderhub.transport.operator_http import OperatorServer
 
-    operator = OperatorServer(host, port, service.handle)
+    operator = OperatorServer(host, port, service.operator.handle)
     await stop.wait()
     log.info("stops")
     await service.stop()
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -1,32 +1,26 @@
-"""A control node: replicates the control state, serves the operator, streams tables to sessions."""
+"""A control node: replicates the control state, keeps sessions and streams tables to them."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
 import random
-from http import HTTPStatus
 from typing import NamedTuple
 
 import msgspec
 import picologging as logging
-from result import Err, Result
 
 from eiderhub import address
-from eiderhub.control import configuration
-from eiderhub.control.configuration import CURRENT_KEY, TAKEN_PREFIX, Accepted, Change, Document
+from eiderhub.control import configuration, retirement
 from eiderhub.control.distribution import Subscriber, Tables
-from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.control.messages import (
     ConfigurationUpdate,
     EndpointRecord,
     EndpointsUpdate,
-    Hello,
     LeaseAnswer,
     LeaseRequest,
     NodeRecord,
     NodesUpdate,
-    Retirement,
     SessionOpen,
     SessionPing,
     SessionPong,
@@ -36,78 +30,31 @@
 from eiderhub.control.platform import PlatformReader, PlatformUnavailable
 from eiderhub.control.sessions import SessionTable
 from eiderhub.control.spending import LEASED_PREFIX, SpendingLedger, tenants_of
-from eiderhub.coordination.messages import (
-    EpochAnswer,
-    InstallSnapshot,
-    Replicate,
-    Replicated,
-    RequestEpoch,
-    TakeOver,
-    Write,
-)
-from eiderhub.coordination.replication import GroupSize, Replica, copies_needed
+from eiderhub.coordination.messages import Write
+from eiderhub.coordination.roster import address_of
+from eiderhub.coordination.timing import GroupSize, copies_needed
+from eiderhub.programs.operator_service import OperatorService
+from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
+from eiderhub.programs.storage_tending import StorageTending
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession
 from eiderhub.transport.framing import Connection, Message
-from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary, address_of
-from eiderhub.transport.operator_calls import Call, Reply
+from eiderhub.transport.group import CommitUnknown, NotPrimary
 
-REPLICA_MESSAGES = (Replicate, InstallSnapshot, Replicated, RequestEpoch, EpochAnswer, TakeOver)
 PUBLISH_S = 0.1  # how often the session table is looked at for changes
 SETTLE_S = 1.2  # a new primary waits so long for sessions to come back before it publishes who is there
-FOUND_S = 1.0  # the storage group is founded once as many of its nodes have been there for so long
-FOUND_ANYWAY_S = 5.0
 LIST_PARTS = 3.0  # the platform's list is read so often within the time that draining may take to be told
-GROUP_KEY = "storage/group"
-KNOWN_PREFIX = "storage/known/"
-RETIRE_PREFIX = "retire/"
 SESSIONS_KEY = "sessions"
-TRANSFER_WAIT_S = 0.4  # a planned transfer is over by then
 
 log = logging.getLogger("control")
 
 
-def spread_over_zones(nodes: list[NodeRecord]) -> list[NodeRecord]:
-    """The nodes in an order that takes one of each zone in turn."""
-    turns: dict[str, int] = {}
-    ranked = []
-    for node in sorted(nodes, key=lambda n: n.name):
-        turns[node.zone] = turns.get(node.zone, 0) + 1
-        ranked.append((turns[node.zone], node.zone, node))
-    return [node for _, _, node in sorted(ranked, key=lambda r: r[:2])]
-
-
 class Session(NamedTuple):
     node: NodeRecord
     subscriber: Subscriber
 
 
-class NodeStatus(msgspec.Struct):
-    name: str
-    role: str
-    zone: str
-
-
-class Status(msgspec.Struct):
-    """The answer to `GET /status`."""
-
-    node: str
-    leads: bool
-    epoch: int
-    version: int
-    generation: int
-    primary: str
-    members: list[str]
-    sidecars: int
-    nodes: list[NodeStatus]
-
-
-class RetireRecord(msgspec.Struct):
-    identity: str
-    done: bool
-
-
 class ControlService:
     def __init__(self, settings: TierSettings, store: LmdbStore, node: NodeRecord) -> None:
         self._settings = settings
@@ -116,21 +63,21 @@
         self._rng = random.Random(node.identity)
         self.tables = Tables()
         self._sessions: dict[Connection, Session] = {}
-        self._replicas: dict[Connection, NodeRecord] = {}
         self._table = SessionTable()
-        self._least = copies_needed(settings.fault_tolerance)
-        size = GroupSize(target=None, least=self._least)
-        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng, size)
-        self.group = GroupDriver(replica, node, self._on_change)
+        least = copies_needed(settings.fault_tolerance)
+        self._host = ReplicaHost(store, node, self._rng, GroupSize(None, least), self._on_change)
+        self.group = self._host.group
+        self._storage = StorageTending(self.group, store, least)
+        control_port = address.parse(settings.control).port
+        self.operator = OperatorService(
+            node, self.group, store, self.tables, control_port, least, self._storage_nodes
+        )
         for seed in self._seeds():
             self.group.know(seed)
         self._epoch = 0  # the last one that this node has led
         self._led_since = 0.0
         self._number = 0
-        self._config_lock = asyncio.Lock()
-        self._storage_seen: tuple[int, float, float] = (0, 0.0, 0.0)  # count, since, first seen
-        self._storage_primary: SessionPing | None = None
-        self._founding = False
+        self._published = 0  # generation
         self._reader = PlatformReader(settings.platform) if settings.platform else None
         self._ledger = SpendingLedger()
         self._leasing: set[asyncio.Future[None]] = set()
@@ -146,15 +93,14 @@
         return [f"{address.parse(s).host}:{self._settings.first_port}" for s in self._settings.seeds]
 
     def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+        return self.group.now()
 
     # --- connections ---
 
     def on_message(self, connection: Connection, message: Message) -> None:
-        if isinstance(message, Hello):
-            self._replicas[connection] = message.node
-            self.group.greeted(connection, message.node)
-        elif isinstance(message, SessionOpen):
+        if self._host.on_message(connection, message):
+            return
+        if isinstance(message, SessionOpen):
             self._sessions[connection] = Session(message.node, Subscriber())
         elif isinstance(message, SessionPing):
             self._on_ping(connection, message)
@@ -162,13 +108,9 @@
             task = asyncio.ensure_future(self._lease(connection, message))
             self._leasing.add(task)
             task.add_done_callback(self._leasing.discard)
-        elif isinstance(message, REPLICA_MESSAGES) and connection in self._replicas:
-            self.group.received(self._replicas[connection].identity, message)
 
     def on_closed(self, connection: Connection) -> None:
-        node = self._replicas.pop(connection, None)
-        if node is not None:
-            self.group.lost(node.identity, connection)
+        self._host.on_closed(connection)
         self._sessions.pop(connection, None)
 
     def _on_ping(self, connection: Connection, ping: SessionPing) -> None:
@@ -179,15 +121,22 @@
         self._table.heard(now, session.node)
         if session.node.role == "control":
             self._table.report(now, session.node.identity, ping.attached)
-        if ping.group:
-            self._storage_primary = ping
+        if ping.group is not None:
+            self._storage.report = ping.group
         session.subscriber.acknowledge(ping)
-        connection.send(SessionPong(self._fresh()))
+        # The answer speaks for all that was sent before it: what is new goes first.
         self._push_to(connection, session)
+        connection.send(SessionPong(ping.sent_at, self._age()))
 
-    def _fresh(self) -> bool:
-        """Whether what this node tells its sessions is what the primary has."""
-        return self.group.leads() or self._session.fresh()
+    def _age(self) -> float | None:
+        """Seconds since what this node tells was what the primary had; None: it must not be told."""
+        if self.group.leads():
+            return 0.0 if self._is_loaded() else None
+        return self._session.freshness.age(self._now())
+
+    def _is_loaded(self) -> bool:
+        """Whether this primary's tables are of its own epoch."""
+        return self._epoch == self.group.replica.epoch
 
     def _primary_address(self) -> list[str]:
         primary = self.group.replica.primary
@@ -198,17 +147,15 @@
     def _describe(self, ping: SessionPing) -> SessionPing:
         """A backup reports its sessions, and the storage group's state, to the primary."""
         attached = [n for n in self._table.own(self._now()) if n.role != "control"]
-        told = self._storage_primary
-        group, synced = (told.group, told.group_synced) if told else ([], False)
-        self._storage_primary = None
-        return msgspec.structs.replace(ping, attached=attached, group=group, group_synced=synced)
+        report, self._storage.report = self._storage.report, None
+        return msgspec.structs.replace(ping, attached=attached, group=report)
 
     def _push(self) -> None:
         for connection, session in list(self._sessions.items()):
             self._push_to(connection, session)
 
     def _push_to(self, connection: Connection, session: Session) -> None:
-        if self._fresh():
+        if self._age() is not None:
             for update in session.subscriber.pending(self.tables):
                 connection.send(update)
 
@@ -216,16 +163,24 @@
 
     def _on_change(self) -> None:
         replica = self.group.replica
-        if replica.epoch != self._epoch and self.group.leads():
+        self.operator.step()
+        if not self._is_loaded() and self.operator.desk.leads(self._now()):
             self._epoch = replica.epoch
             self._led_since = self._now()
             self._number = 0
-            self._storage_seen = (0, 0.0, 0.0)
-            self._storage_primary = None
+            self._published = 0
+            self._storage.begin()
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
             self._restore_sessions()
             self._ledger.load(dict(self._store.scan(LEASED_PREFIX)))
-            self._apply_configuration()
+        self._apply_configuration()
+
+    def _leads(self) -> bool:
+        """Whether this node leads, with the state of its own epoch."""
+        return self.group.leads() and self._is_loaded()
+
+    def _storage_nodes(self) -> list[NodeRecord]:
+        return [n for n in self._table.all(self._now()) if n.role == "storage" and n.identity]
 
     def _restore_sessions(self) -> None:
         """Begin with the session table as the last primary replicated it."""
@@ -236,19 +191,22 @@
             self._publish_nodes()
 
     def _apply_configuration(self) -> None:
-        body = self._store.get(CURRENT_KEY)
-        if body is not None:
-            generation = configuration.read(body).unwrap()["generation"]
-            if self.tables.apply(ConfigurationUpdate(generation, body)):
-                self._push()
-            self._ledger.follow(tenants_of(configuration.read(body).unwrap()))
-            self._publish_spending()
+        """Publish the newest committed configuration, where this primary has not."""
+        newest = self.operator.desk.newest(self._now())
+        if newest is None or newest.generation == self._published:
+            return
+        self._published = newest.generation
+        if self.tables.apply(ConfigurationUpdate(newest.generation, newest.body)):
+            self._push()
+            log.info("configuration %d is in force", newest.generation)
+        self._ledger.follow(tenants_of(configuration.read(newest.body).unwrap()))
+        self._publish_spending()
 
     # --- spending ---
 
     async def _lease(self, connection: Connection, request: LeaseRequest) -> None:
         """Lease tokens of a tenant's cap, or pass the request on to who leads."""
-        if not self.group.leads():
+        if not self._leads():
             origin = f"{self._node.name} {next(self._serial)}"
             if self._session.send(msgspec.structs.replace(request, origin=origin)):
                 self._passed_on[origin] = (connection, request.origin)
@@ -288,8 +246,8 @@
         while True:
             await asyncio.sleep(PUBLISH_S)
             try:
-                if self.group.leads() and self._now() - self._led_since > SETTLE_S:
-                    await self._tend_storage()
+                if self._leads() and self._now() - self._led_since > SETTLE_S:
+                    await self._storage.tend(self._storage_nodes(), self.operator.orders())
                     if self._publish_nodes():
                         published = (self.tables.nodes.nodes, self.tables.nodes.sidecars)
                         await self.group.write([Write(SESSIONS_KEY, msgspec.json.encode(published))])
@@ -302,12 +260,9 @@
         sidecars = self._table.sidecars(self._now())
         if self._node not in nodes:
             nodes = [*nodes, self._node]
-        founded = self._founded()
-        retirements = [
-            Retirement(name, record.identity, record.done) for name, record in self._retirements().items()
-        ]
+        retirements = retirement.published(self.operator.orders())
         current = self.tables.nodes
-        made = NodesUpdate(current.version, nodes, sidecars, founded, retirements)
+        made = NodesUpdate(current.version, nodes, sidecars, self._storage.founders(), retirements)
         if made != current:
             self.tables.apply(msgspec.structs.replace(made, version=self._next_version()))
             self._push()
@@ -318,7 +273,7 @@
         """The primary alone reads the platform's list."""
         pause = self._settings.drain_ms / 1000 / LIST_PARTS
         while True:
-            if not self.group.leads() or self._reader is None:
+            if not self._leads() or self._reader is None:
                 await asyncio.sleep(PUBLISH_S)
                 continue
             started, epoch = self._now(), self._epoch
@@ -327,7 +282,7 @@
             except PlatformUnavailable as error:
                 log.warning("the platform's list could not be read: %s", error)
             else:
-                if self.group.leads() and self._epoch == epoch:
+                if self._leads() and self._epoch == epoch:
                     self._listed(listed)
             await asyncio.sleep(max(0.05, pause - (self._now() - started)))
 
@@ -336,168 +291,5 @@
             self.tables.apply(EndpointsUpdate(self._next_version(), listed))
             self._push()
 
-    # --- the storage group ---
-
-    def _founded(self) -> list[str]:
-        value = self._store.get(GROUP_KEY)
-        return msgspec.json.decode(value, type=list[str]) if value else []
-
-    def _retirements(self) -> dict[str, RetireRecord]:
-        return {
-            key[len(RETIRE_PREFIX) :]: msgspec.json.decode(value, type=RetireRecord)
-            for key, value in self._store.scan(RETIRE_PREFIX)
-        }
-
-    def _storage_nodes(self) -> list[NodeRecord]:
-        return [n for n in self._table.all(self._now()) if n.role == "storage" and n.identity]
-
-    async def _tend_storage(self) -> None:
-        nodes = self._storage_nodes()
-        known = [
-            Write(KNOWN_PREFIX + n.name, n.identity.encode())
-            for n in nodes
-            if self._store.get(KNOWN_PREFIX + n.name) != n.identity.encode()
-        ]
-        if known:
-            await self.group.write(known)
-        if not self._founded():
-            await self._found(nodes)
-        told = self._storage_primary
-        if told is not None and told.group and told.group_synced:
-            for name, record in self._retirements().items():
-                if not record.done and record.identity not in told.group:
-                    done = msgspec.json.encode(RetireRecord(record.identity, True))
-                    await self.group.write([Write(RETIRE_PREFIX + name, done)])
-                    log.info("storage node %s is empty", name)
-
-    async def _found(self, nodes: list[NodeRecord]) -> None:
-        """Name the storage group's first members, once."""
-        now = self._now()
-        count, since, first = self._storage_seen
-        if len(nodes) != count:
-            self._storage_seen = (len(nodes), now, first or now)
-            return
-        enough = len(nodes) >= self._least
-        if nodes and now - since > FOUND_S and (enough or now - first > FOUND_ANYWAY_S):
-            founders = spread_over_zones(nodes)[: self._least]
-            members = msgspec.json.encode(sorted(n.identity for n in founders))
-            await self.group.write([Write(GROUP_KEY, members)])
-            log.info("founded the storage group with %d of %d nodes", len(founders), len(nodes))
-
-    # --- the operator's API ---
-
-    async def handle(self, call: Call) -> Reply:
-        if call.path == "/status" and call.method == "GET":
-            return self._status()
-        if not self.group.leads():
-            return self._elsewhere(call)
-        if call.path == "/config":
-            if call.method == "GET":
-                return self._current()
-            if call.method in ("PUT", "PATCH"):
-                # Carried through though its caller gives up: what is committed must be distributed.
-                return await asyncio.shield(asyncio.ensure_future(self._change(call)))
-        elif call.path.startswith("/retire/"):
-            name = call.path.removeprefix("/retire/")
-            if call.method == "GET":
-                return self._retire_state(name)
-            if call.method == "POST":
-                return await self._retire(name)
-        return Reply(HTTPStatus.NOT_FOUND)
-
-    def _status(self) -> Reply:
-        """What this node knows, whether it leads or not."""
-        replica = self.group.replica
-        status = Status(
-            node=self._node.name,
-            leads=self.group.leads(),
-            epoch=replica.epoch,
-            version=replica.position.version,
-            generation=self.tables.configuration.generation,
-            primary=replica.primary or "",
-            members=sorted(replica.members),
-            sidecars=self.tables.nodes.sidecars,
-            nodes=[NodeStatus(n.name, n.role, n.zone) for n in self.tables.nodes.nodes],
-        )
-        return Reply(HTTPStatus.OK, msgspec.json.encode(status))
-
-    def _elsewhere(self, call: Call) -> Reply:
-        primary = self.group.replica.primary
-        if primary is None or primary == self._node.identity:
-            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-        host = address.parse(address_of(primary)).host
-        port = address.parse(self._settings.control).port
-        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{port}{call.path}")
-
-    def _current(self) -> Reply:
-        body = self._store.get(CURRENT_KEY)
-        if body is None:
-            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-        told = self.tables.configuration
-        return Reply(HTTPStatus.OK, told.encoded() if told.generation else body)
-
-    async def _change(self, call: Call) -> Reply:
-        base = call.base.strip().strip('"')
-        if not base.isdigit():
-            return self._refused(Refusal(ErrorKind.INVALID, "If-Match: must be a generation"))
-        found = configuration.read(call.body)
-        if isinstance(found, Err):
-            return self._refused(found.err_value)
-        change = Change(int(base), call.method == "PATCH", call.body)
-        async with self._config_lock:
-            if not self.group.leads():
-                return self._elsewhere(call)
-            decided = self._decide(change, found.ok_value)
-            if isinstance(decided, Err):
-                return self._refused(decided.err_value)
-            accepted = decided.ok_value
-            if accepted.writes:
-                try:
-                    await self.group.write(accepted.writes)
-                except NotPrimary:
-                    return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-                except CommitUnknown:
-                    return Reply(HTTPStatus.GATEWAY_TIMEOUT)
-                self._apply_configuration()
-                log.info("configuration %d is in force", accepted.generation)
-            return Reply(HTTPStatus.OK)
-
-    def _decide(self, change: Change, document: Document) -> Result[Accepted, Refusal]:
-        body = self._store.get(CURRENT_KEY)
-        current = configuration.read(body).unwrap() if body is not None else None
-        taken = self._store.get(f"{TAKEN_PREFIX}{document.get('generation')}")
-        return configuration.decide(current, taken, change, document)
-
-    def _refused(self, refusal: Refusal) -> Reply:
-        return Reply(refusal.status, msgspec.json.encode({"error": refusal.kind.value, "why": refusal.why}))
-
-    def _retire_state(self, name: str) -> Reply:
-        record = self._retirements().get(name)
-        if record is None:
-            return Reply(HTTPStatus.NOT_FOUND)
-        state = "succeeded" if record.done else "in_progress"
-        return Reply(HTTPStatus.OK, msgspec.json.encode({"state": state}))
-
-    async def _retire(self, name: str) -> Reply:
-        if name in self._retirements():
-            return Reply(HTTPStatus.OK)
-        identity = self._store.get(KNOWN_PREFIX + name)
-        if identity is None:
-            return Reply(HTTPStatus.NOT_FOUND)
-        gone = {record.identity for record in self._retirements().values()} | {identity.decode()}
-        left = [n for n in self._storage_nodes() if n.identity not in gone]
-        if len(left) < self._least:
-            return self._refused(Refusal(ErrorKind.TOO_FEW, f"{len(left)} would remain"))
-        record = msgspec.json.encode(RetireRecord(identity.decode(), False))
-        try:
-            await self.group.write([Write(RETIRE_PREFIX + name, record)])
-        except (NotPrimary, CommitUnknown):
-            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
-        log.info("storage node %s is to be emptied", name)
-        return Reply(HTTPStatus.OK)
-
     async def stop(self) -> None:
-        """Hand leadership over, where another can take it."""
-        if self.group.replica.transfer(self._now()):
-            self.group.flush()
-            await asyncio.sleep(TRANSFER_WAIT_S)
+        await self._host.stop()
--- /dev/null
+++ b/eiderhub/programs/operator_service.py
@@ -0,0 +1,192 @@
+"""The operator's API at a control node: the configuration, retirements, and what the node knows."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+import msgspec
+import picologging as logging
+
+from eiderhub import address
+from eiderhub.control import retirement
+from eiderhub.control.configuration import Change
+from eiderhub.control.desk import Answer, Desk, Outcome
+from eiderhub.control.distribution import Tables
+from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.control.messages import NodeRecord
+from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.roster import address_of
+from eiderhub.storage.store import LmdbStore
+from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary
+from eiderhub.transport.operator_calls import Call, Reply
+
+KNOWN_PREFIX = "storage/known/"  # identities by machine, of storage nodes that have had a session
+CONFIG_PATH, STATUS_PATH, RETIRE_PATH = "/config", "/status", "/retire/"
+
+log = logging.getLogger("operator")
+
+DeskAnswer = Answer[asyncio.Future["DeskAnswer"]]
+
+
+class NodeStatus(msgspec.Struct):
+    name: str
+    role: str
+    zone: str
+
+
+class Status(msgspec.Struct):
+    """The answer to `GET /status`."""
+
+    node: str
+    leads: bool
+    epoch: int
+    version: int
+    generation: int
+    primary: str
+    members: list[str]
+    sidecars: int
+    nodes: list[NodeStatus]
+
+
+class OperatorService:
+    """`storage_nodes` gives those that have sessions; `least` of them must remain after a retirement."""
+
+    def __init__(
+        self,
+        node: NodeRecord,
+        group: GroupDriver,
+        store: LmdbStore,
+        tables: Tables,
+        control_port: int,
+        least: int,
+        storage_nodes: Callable[[], list[NodeRecord]],
+    ) -> None:
+        self._node = node
+        self._group = group
+        self._store = store
+        self._tables = tables
+        self._control_port = control_port
+        self._least = least
+        self._storage_nodes = storage_nodes
+        self.desk: Desk[asyncio.Future[DeskAnswer]] = Desk(group.replica, store)
+
+    async def handle(self, call: Call) -> Reply:
+        if call.path == STATUS_PATH and call.method == "GET":
+            return self._status()
+        if not self._group.leads():
+            return self._elsewhere(call)
+        if call.path == CONFIG_PATH:
+            if call.method == "GET":
+                return self._current()
+            if call.method in ("PUT", "PATCH"):
+                return await self._change(call)
+        elif call.path.startswith(RETIRE_PATH):
+            name = call.path.removeprefix(RETIRE_PATH)
+            if call.method == "GET":
+                return await self._retire_state(name)
+            if call.method == "POST":
+                return await self._retire(name)
+        return Reply(HTTPStatus.NOT_FOUND)
+
+    def _elsewhere(self, call: Call) -> Reply:
+        primary = self._group.replica.primary
+        if primary is None or primary == self._node.identity:
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        host = address.parse(address_of(primary)).host
+        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{self._control_port}{call.path}")
+
+    @staticmethod
+    def _refused(refusal: Refusal) -> Reply:
+        return Reply(refusal.status, msgspec.json.encode({"error": refusal.kind.value, "why": refusal.why}))
+
+    def _status(self) -> Reply:
+        """What this node knows, whether it leads or not."""
+        replica = self._group.replica
+        status = Status(
+            node=self._node.name,
+            leads=self._group.leads(),
+            epoch=replica.epoch,
+            version=replica.position.version,
+            generation=self._tables.configuration.generation,
+            primary=replica.primary or "",
+            members=sorted(replica.members),
+            sidecars=self._tables.nodes.sidecars,
+            nodes=[NodeStatus(n.name, n.role, n.zone) for n in self._tables.nodes.nodes],
+        )
+        return Reply(HTTPStatus.OK, msgspec.json.encode(status))
+
+    # --- the configuration ---
+
+    def _current(self) -> Reply:
+        newest = self.desk.newest(self._group.now())
+        if newest is None:
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        return Reply(HTTPStatus.OK, newest.body)
+
+    async def _change(self, call: Call) -> Reply:
+        base = call.base.strip().strip('"')
+        if not base.isdigit():
+            return self._refused(Refusal(ErrorKind.INVALID, "If-Match: must be a generation"))
+        future: asyncio.Future[DeskAnswer] = asyncio.get_running_loop().create_future()
+        self.desk.submit(Change(int(base), call.method == "PATCH", call.body), future)
+        self._group.flush()
+        answer = await future
+        if answer.outcome is Outcome.REFUSED and answer.refusal is not None:
+            return self._refused(answer.refusal)
+        if answer.outcome is Outcome.NOT_PRIMARY:
+            return self._elsewhere(call)
+        if answer.outcome is Outcome.UNKNOWN:
+            return Reply(HTTPStatus.GATEWAY_TIMEOUT)
+        return Reply(HTTPStatus.OK)
+
+    def step(self) -> None:
+        """Go on with the changes; called after each step of the replica."""
+        for answer in self.desk.step(self._group.now()):
+            if not answer.caller.done():  # its caller may have given up
+                answer.caller.set_result(answer)
+
+    # --- retirement ---
+
+    def orders(self) -> dict[str, RetireOrder]:
+        return retirement.read_orders(self._store.scan(retirement.RETIRE_PREFIX))
+
+    async def _retire_state(self, name: str) -> Reply:
+        order = self.orders().get(name)
+        if order is None:
+            return Reply(HTTPStatus.NOT_FOUND)
+        try:
+            await self._group.settle()
+        except (NotPrimary, CommitUnknown):
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        state = "succeeded" if order.done else "in_progress"
+        return Reply(HTTPStatus.OK, msgspec.json.encode({"state": state}))
+
+    async def _retire(self, name: str) -> Reply:
+        known = self._store.get(KNOWN_PREFIX + name)
+        if known is None:
+            return Reply(HTTPStatus.NOT_FOUND)
+        identity = known.decode()
+        orders = self.orders()
+        try:
+            if not retirement.is_repeat(orders.get(name), identity):
+                refusal = self._too_few_without(identity, orders)
+                if refusal is not None:
+                    return self._refused(refusal)
+                await self._group.write([retirement.write_order(name, RetireOrder([identity]))])
+                log.info("storage node %s is to be emptied", name)
+            else:
+                await self._group.settle()
+        except NotPrimary:
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        except CommitUnknown:
+            return Reply(HTTPStatus.GATEWAY_TIMEOUT)
+        return Reply(HTTPStatus.OK)
+
+    def _too_few_without(self, identity: str, orders: Mapping[str, RetireOrder]) -> Refusal | None:
+        gone = {each for order in orders.values() for each in order.identities} | {identity}
+        left = [node for node in self._storage_nodes() if node.identity not in gone]
+        if len(left) < self._least:
+            return Refusal(ErrorKind.TOO_FEW, f"{len(left)} would remain")
+        return None
--- /dev/null
+++ b/eiderhub/programs/replica_host.py
@@ -0,0 +1,56 @@
+"""What the programs that host a replica do alike: its connections, and the hand-over at the program's end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from eiderhub.control.messages import Hello, NodeRecord
+from eiderhub.coordination.messages import REPLICA_MESSAGES
+from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.timing import GroupSize
+from eiderhub.storage.store import LmdbStore
+from eiderhub.transport.framing import Connection, Message
+from eiderhub.transport.group import GroupDriver
+
+TRANSFER_WAIT_S = 0.4  # a planned transfer is over by then
+
+
+class ReplicaHost:
+    """One replica with its driver, and the connections of the other replicas."""
+
+    def __init__(
+        self,
+        store: LmdbStore,
+        node: NodeRecord,
+        rng: random.Random,
+        size: GroupSize,
+        on_change: Callable[[], None],
+    ) -> None:
+        replica = Replica(node.identity, store, GroupDriver.now(), rng, size)
+        self.group = GroupDriver(replica, node, on_change)
+        self._connections: dict[Connection, NodeRecord] = {}
+
+    def on_message(self, connection: Connection, message: Message) -> bool:
+        """Take a message between replicas; false where it is none."""
+        if isinstance(message, Hello):
+            self._connections[connection] = message.node
+            self.group.greeted(connection, message.node)
+        elif isinstance(message, REPLICA_MESSAGES):
+            if connection in self._connections:
+                self.group.received(self._connections[connection].identity, message)
+        else:
+            return False
+        return True
+
+    def on_closed(self, connection: Connection) -> None:
+        node = self._connections.pop(connection, None)
+        if node is not None:
+            self.group.lost(node.identity, connection)
+
+    async def stop(self) -> None:
+        """Hand leadership over, where another can take it."""
+        if self.group.replica.transfer(self.group.now()):
+            self.group.flush()
+            await asyncio.sleep(TRANSFER_WAIT_S)
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -29,30 +29,23 @@
 from eiderhub.batch.scheduler import Scheduler
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind, Refusal
-from eiderhub.control.messages import Hello, LeaseRequest, NodeRecord, SessionPing
-from eiderhub.coordination.messages import (
-    EpochAnswer,
-    InstallSnapshot,
-    Replicate,
-    Replicated,
-    RequestEpoch,
-    TakeOver,
-)
-from eiderhub.coordination.replication import NOWHERE, GroupSize, Replica, copies_needed
+from eiderhub.control.messages import LeaseRequest, NodeRecord, SessionPing, StorageReport
+from eiderhub.coordination.roster import address_of
+from eiderhub.coordination.store import NOWHERE
+from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.dataplane.routes import RouteTable
+from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession, control_candidates
 from eiderhub.transport.framing import Connection, Message
-from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary, address_of
+from eiderhub.transport.group import CommitUnknown, NotPrimary
 from eiderhub.transport.spending import Charge, Spending
 
-REPLICA_MESSAGES = (Replicate, InstallSnapshot, Replicated, RequestEpoch, EpochAnswer, TakeOver)
 CALLS = (Submit, ReadResults, ReadBody, EndJob)
 DISPATCH_S = 0.02
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 HOPELESS_S = 0.5  # how often dead letters are looked for
-TRANSFER_WAIT_S = 0.4
 
 log = logging.getLogger("storage")
 
@@ -66,12 +59,10 @@
         self.tables = Tables()
         self._routes: RouteTable | None = None
         least = copies_needed(settings.fault_tolerance)
-        size = GroupSize(target=least, least=least)
-        replica = Replica(node.identity, store, asyncio.get_running_loop().time(), self._rng, size)
-        self.group = GroupDriver(replica, node, self._on_change)
+        self._host = ReplicaHost(store, node, self._rng, GroupSize(least, least), self._on_change)
+        self.group = self._host.group
         self._jobs = JobTable(store)
         self._scheduler = Scheduler()
-        self._replicas: dict[Connection, NodeRecord] = {}
         self._workers: dict[Connection, str] = {}
         self._connections: dict[str, Connection] = {}  # by worker
         self._readers: dict[str, list[asyncio.Future[None]]] = {}  # who waits for results, by job
@@ -87,7 +78,7 @@
         self._dispatcher = asyncio.get_running_loop().create_task(self._dispatch_forever())
 
     def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+        return self.group.now()
 
     def _candidates(self) -> list[str]:
         port = self._settings.first_port
@@ -98,12 +89,12 @@
         return self._session.send(request)
 
     def _describe(self, ping: SessionPing) -> SessionPing:
-        if not self.group.leads():
+        if not self.group.settled():
             return ping
         replica = self.group.replica
         members = sorted(replica.members)
         synced = all(replica.synced(member) for member in members)
-        return msgspec.structs.replace(ping, group=members, group_synced=synced)
+        return msgspec.structs.replace(ping, group=StorageReport(members, sorted(replica.barred), synced))
 
     def _on_tables(self) -> None:
         configuration, nodes = self.tables.configuration, self.tables.nodes
@@ -120,7 +111,9 @@
         founded = nodes.storage_group
         if self._node.identity in founded and self._store.position == NOWHERE:
             self.group.replica.bootstrap(founded)
-        self.group.retired = {each.identity for each in nodes.retirements}
+        orders = nodes.retirements
+        self.group.roster.retired = frozenset(i for order in orders for i in order.identities)
+        self.group.roster.retired_names = frozenset(order.node for order in orders if not order.done)
 
     def _follow_endpoints(self) -> None:
         """Count the endpoints that run items: those of the services that batch routes lead to."""
@@ -134,13 +127,9 @@
     # --- connections ---
 
     def on_message(self, connection: Connection, message: Message) -> None:
-        if isinstance(message, Hello):
-            self._replicas[connection] = message.node
-            self.group.greeted(connection, message.node)
-        elif isinstance(message, REPLICA_MESSAGES):
-            if connection in self._replicas:
-                self.group.received(self._replicas[connection].identity, message)
-        elif not self.group.leads():
+        if self._host.on_message(connection, message):
+            return
+        if not self.group.leads():
             connection.send(Redirect(self.group.replica.primary or ""))
         elif isinstance(message, WorkerOpen):
             self._join(connection, message)
@@ -155,9 +144,7 @@
             self._start(self._answer(connection, message))
 
     def on_closed(self, connection: Connection) -> None:
-        node = self._replicas.pop(connection, None)
-        if node is not None:
-            self.group.lost(node.identity, connection)
+        self._host.on_closed(connection)
         worker = self._workers.pop(connection, None)
         if worker is not None and self._connections.get(worker) is connection:
             del self._connections[worker]
@@ -356,6 +343,7 @@
     async def _dispatch_forever(self) -> None:
         while True:
             await asyncio.sleep(DISPATCH_S)
+            self.group.roster.informed = self._session.fresh()
             if self.group.leads():
                 self._dispatch()
                 if self._now() >= self._next_hopeless and self._routes is not None and self._session.fresh():
@@ -390,7 +378,4 @@
                 self._listed(item.job.record.id, positions)
 
     async def stop(self) -> None:
-        """Hand leadership over, where another can take it."""
-        if self.group.replica.transfer(self._now()):
-            self.group.flush()
-            await asyncio.sleep(TRANSFER_WAIT_S)
+        await self._host.stop()
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -1,22 +1,29 @@
-"""One lmdb environment for one replica: its state, how far it has come, and what its witness has granted."""
+"""One lmdb environment for one replica: its state, how far it has come, and what its witness has granted.
+
+The state is one of two tables; a snapshot that arrives in chunks is staged in the other. Installing it
+changes which of them holds, and how far the state has come, in one transaction: whole or not at all.
+"""
 
 from __future__ import annotations
 
 import os
 from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import lmdb
 import msgspec
 
-from eiderhub.coordination.messages import Position, Update, Write
-from eiderhub.coordination.replication import NOWHERE, StoreFailed
+from eiderhub.coordination.messages import Position, Staged, Update, Write
+from eiderhub.coordination.store import NOWHERE, Chunk, StoreFailed
 
 STORE_VERSION = 1
 FILE_NAME = "replica.lmdb"
-DISK_SHARE = 0.75  # of the disk that the map may take
+DISK_SHARE = 0.9  # of the disk that the map may take: the state, and a snapshot beside it
 LEAST_MAP_BYTES = 8 << 20
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
+ACTIVE_KEY, STAGED_KEY = b"active", b"staged"
+TABLES = (b"data", b"data-b")  # one holds the state, the other a snapshot that is on its way
 
 
 class StoreUnusable(Exception):
@@ -52,18 +59,24 @@
             str(self._path),
             subdir=False,
             map_size=self._map_bytes,
-            max_dbs=2,
+            max_dbs=3,
             lock=False,
             readonly=self._read_only,
         )
         self._meta = self._environment.open_db(b"meta", create=not self._read_only)
-        self._data = self._environment.open_db(b"data", create=not self._read_only)
+        first = self._environment.open_db(TABLES[0], create=not self._read_only)
+        try:
+            second = self._environment.open_db(TABLES[1], create=not self._read_only)
+        except lmdb.NotFoundError:  # an older store that is opened for reading has one table
+            second = first
+        self._tables = [first, second]
         self._read()
 
     def _reopen(self) -> None:
         """After a write that failed lmdb takes no more until the environment is opened anew."""
         self._environment.close()
         self._open()
+        self._environment.sync(True)  # what is there may be new and not durable yet; it is told as durable
 
     def _initialise(self, folder: Path, identity: str) -> None:
         self.identity = identity
@@ -88,6 +101,19 @@
             self._epoch = int(transaction.get(EPOCH_KEY, db=self._meta) or 0)
             position = transaction.get(POSITION_KEY, db=self._meta)
             self._position = msgspec.json.decode(position, type=Position) if position else NOWHERE
+            self._active = int(transaction.get(ACTIVE_KEY, db=self._meta) or 0)
+            staged = transaction.get(STAGED_KEY, db=self._meta)
+            self._staged = msgspec.json.decode(staged, type=Staged) if staged else None
+
+    @property
+    def _data(self) -> lmdb._Database:
+        """The table that holds the state."""
+        return self._tables[self._active]
+
+    @property
+    def _staging(self) -> lmdb._Database:
+        """The table that a snapshot is kept in until it is whole."""
+        return self._tables[1 - self._active]
 
     @property
     def epoch(self) -> int:
@@ -97,38 +123,75 @@
     def position(self) -> Position:
         return self._position
 
+    @property
+    def staged(self) -> Staged | None:
+        return self._staged
+
     def grant(self, epoch: int) -> None:
         if epoch > self._epoch:
-            self._commit([], self._position, epoch, clear=False)
+            with self._transaction() as transaction:
+                transaction.put(EPOCH_KEY, str(epoch).encode(), db=self._meta)
+            self._epoch = epoch
 
     def apply(self, updates: list[Update]) -> None:
-        writes = [write for update in updates for write in update.writes]
-        self._commit(writes, updates[-1].position, self._epoch, clear=False)
-
-    def install(self, position: Position, entries: Iterable[Write]) -> None:
-        self._commit(entries, position, self._epoch, clear=True)
+        position = updates[-1].position
+        with self._transaction() as transaction:
+            for update in updates:
+                self._put(transaction, self._data, update.writes)
+            transaction.put(POSITION_KEY, msgspec.json.encode(position), db=self._meta)
+        self._position = position
+
+    def stage(self, entries: Iterable[Write], staged: Staged, first: bool) -> None:
+        with self._transaction() as transaction:
+            if first:
+                transaction.drop(self._staging, delete=False)
+            self._put(transaction, self._staging, entries)
+            transaction.put(STAGED_KEY, msgspec.json.encode(staged), db=self._meta)
+        self._staged = staged
+
+    def stage_updates(self, updates: list[Update]) -> None:
+        if self._staged is None:
+            return
+        staged = Staged(updates[-1].position, self._staged.through)
+        self.stage([write for update in updates for write in update.writes], staged, first=False)
+
+    def install_staged(self) -> None:
+        if self._staged is None:
+            return
+        position, active = self._staged.position, 1 - self._active
+        with self._transaction() as transaction:
+            transaction.drop(self._data, delete=False)
+            transaction.put(ACTIVE_KEY, str(active).encode(), db=self._meta)
+            transaction.put(POSITION_KEY, msgspec.json.encode(position), db=self._meta)
+            transaction.delete(STAGED_KEY, db=self._meta)
+        self._position, self._active, self._staged = position, active, None
+
+    @contextmanager
+    def _transaction(self) -> Iterator[lmdb.Transaction]:
+        """A transaction that is durable when it ends.
 
-    def _commit(self, writes: Iterable[Write], position: Position, epoch: int, clear: bool) -> None:
+        Raises:
+            StoreFailed: nothing has changed.
+        """
         try:
             with self._environment.begin(write=True) as transaction:
-                if clear:
-                    transaction.drop(self._data, delete=False)
-                for write in writes:
-                    key = write.key.encode()
-                    if write.value is None:
-                        transaction.delete(key, db=self._data)
-                    else:
-                        transaction.put(key, write.value, db=self._data)
-                transaction.put(POSITION_KEY, msgspec.json.encode(position), db=self._meta)
-                transaction.put(EPOCH_KEY, str(epoch).encode(), db=self._meta)
+                yield transaction
             self._environment.sync(True)
         except (lmdb.Error, OSError) as error:
             try:
-                self._reopen()  # what is there may be the new state, written and not synced
+                self._reopen()
             except (lmdb.Error, OSError) as again:
                 raise StoreFailed(f"{error}; {again}") from again
             raise StoreFailed(str(error)) from error
-        self._position, self._epoch = position, epoch
+
+    @staticmethod
+    def _put(transaction: lmdb.Transaction, table: lmdb._Database, writes: Iterable[Write]) -> None:
+        for write in writes:
+            key = write.key.encode()
+            if write.value is None:
+                transaction.delete(key, db=table)
+            else:
+                transaction.put(key, write.value, db=table)
 
     def get(self, key: str) -> bytes | None:
         with self._environment.begin() as transaction:
@@ -144,6 +207,22 @@
                 yield cursor.key().decode(), bytes(cursor.value())
                 found = cursor.next()
 
+    def chunk(self, after: str, most_bytes: int) -> Chunk:
+        entries: list[Write] = []
+        size = 0
+        with self._environment.begin() as transaction, transaction.cursor(db=self._data) as cursor:
+            found = cursor.set_range(after.encode())
+            if found and after and cursor.key() == after.encode():
+                found = cursor.next()
+            while found:
+                write = Write(cursor.key().decode(), bytes(cursor.value()))
+                size += len(write.key) + len(cursor.value())
+                if entries and size > most_bytes:
+                    break
+                entries.append(write)
+                found = cursor.next()
+        return Chunk(entries, entries[-1].key if entries else after, not found)
+
     def entries(self) -> list[Write]:
         return [Write(key, value) for key, value in self.scan("")]
 
@@ -158,22 +237,45 @@
         self.epoch = 0
         self.position = NOWHERE
         self.data: dict[str, bytes] = {}
+        self._staged: tuple[Staged, dict[str, bytes]] | None = None
 
     def grant(self, epoch: int) -> None:
         self.epoch = max(self.epoch, epoch)
 
     def apply(self, updates: list[Update]) -> None:
         for update in updates:
-            for write in update.writes:
-                if write.value is None:
-                    self.data.pop(write.key, None)
-                else:
-                    self.data[write.key] = write.value
+            self._put(self.data, update.writes)
             self.position = update.position
 
-    def install(self, position: Position, entries: Iterable[Write]) -> None:
-        self.data = {w.key: w.value for w in entries if w.value is not None}
-        self.position = position
+    @property
+    def staged(self) -> Staged | None:
+        return self._staged[0] if self._staged else None
+
+    def stage(self, entries: Iterable[Write], staged: Staged, first: bool) -> None:
+        data = {} if first or self._staged is None else self._staged[1]
+        self._put(data, entries)
+        self._staged = (staged, data)
+
+    def stage_updates(self, updates: list[Update]) -> None:
+        if self._staged is not None:
+            staged, data = self._staged
+            for update in updates:
+                self._put(data, update.writes)
+            self._staged = (Staged(updates[-1].position, staged.through), data)
+
+    def install_staged(self) -> None:
+        if self._staged is not None:
+            staged, self.data = self._staged
+            self.position = staged.position
+            self._staged = None
+
+    @staticmethod
+    def _put(data: dict[str, bytes], writes: Iterable[Write]) -> None:
+        for write in writes:
+            if write.value is None:
+                data.pop(write.key, None)
+            else:
+                data[write.key] = write.value
 
     def get(self, key: str) -> bytes | None:
         return self.data.get(key)
@@ -181,5 +283,12 @@
     def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
         return ((key, self.data[key]) for key in sorted(self.data) if key.startswith(prefix))
 
-    def entries(self) -> list[Write]:
-        return [Write(key, value) for key, value in sorted(self.data.items())]
+    def chunk(self, after: str, most_bytes: int) -> Chunk:
+        entries: list[Write] = []
+        size = 0
+        for key in sorted(key for key in self.data if key > after):
+            size += len(key) + len(self.data[key])
+            if entries and size > most_bytes:
+                return Chunk(entries, entries[-1].key, False)
+            entries.append(Write(key, self.data[key]))
+        return Chunk(entries, entries[-1].key if entries else after, True)
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from eiderhub import address
 from eiderhub.control.distribution import Tables
+from eiderhub.control.freshness import FRESH_S, Freshness
 from eiderhub.control.messages import (
     LeaseAnswer,
     LeaseRequest,
@@ -19,7 +21,6 @@
 from eiderhub.transport.framing import Connection, Message, connect
 
 PING_S = 0.25
-STALE_S = 0.9  # a session that has not been told to be fresh for so long moves to another control node
 RETRY_S = 0.1
 
 
@@ -42,7 +43,7 @@
         self._describe = describe
         self._on_lease = on_lease
         self._ended = asyncio.Event()
-        self.fresh_at = 0.0  # when a control node said last that it tells what is in force
+        self.freshness = Freshness()
         self.connection: Connection | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -54,7 +55,7 @@
         return True
 
     def fresh(self) -> bool:
-        return asyncio.get_running_loop().time() - self.fresh_at < STALE_S
+        return self.freshness.is_fresh(time.monotonic())
 
     async def _run(self) -> None:
         while True:
@@ -66,8 +67,7 @@
             await asyncio.sleep(RETRY_S)
 
     async def _keep(self, connection: Connection, target: str) -> None:
-        loop = asyncio.get_running_loop()
-        opened = loop.time()
+        opened = time.monotonic()
         self._ended.clear()
         self.connection = connection
         connection.send(SessionOpen(self._node))
@@ -78,7 +78,8 @@
                     await self._ended.wait()
             except TimeoutError:
                 pass
-            if loop.time() - max(self.fresh_at, opened) > STALE_S or target not in self._candidates():
+            stale = time.monotonic() - self.freshness.silent_since(opened) > FRESH_S
+            if stale or target not in self._candidates():
                 connection.close()
         self.connection = None
 
@@ -89,6 +90,7 @@
             tables.endpoints.version,
             tables.nodes.version,
             tables.spending.version,
+            sent_at=time.monotonic(),
         )
         return self._describe(ping)
 
@@ -96,8 +98,7 @@
         if connection is not self.connection:
             return
         if isinstance(message, SessionPong):
-            if message.fresh:
-                self.fresh_at = asyncio.get_running_loop().time()
+            self.freshness.answered(message.sent_at, message.age_s)
         elif isinstance(message, LeaseAnswer):
             self._on_lease(message)
         elif isinstance(message, TableUpdate):
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 
 import picologging as logging
 
 from eiderhub import address
 from eiderhub.control.messages import Hello, NodeRecord
+from eiderhub.coordination.commits import CommitQueue, Fate
 from eiderhub.coordination.messages import ReplicaMessage, Write
-from eiderhub.coordination.replication import Replica, Role, StoreFailed
+from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.roster import Roster, address_of
+from eiderhub.coordination.store import StoreFailed
 from eiderhub.transport.framing import Connection, Message, connect
 
 TICK_S = 0.05
@@ -28,11 +32,6 @@
     """Nothing was written: this replica does not lead."""
 
 
-def address_of(identity: str) -> str:
-    """Where the replica of this identity listens."""
-    return identity.partition("@")[2]
-
-
 class Link:
     """A connection that is opened again and again to one address, for what we send there."""
 
@@ -40,7 +39,7 @@
         self.group = group
         self.target = target
         self.connection: Connection | None = None
-        self.identity = ""  # of the replica that listens there, once it has said so
+        self._ended = asyncio.Event()
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
@@ -48,26 +47,21 @@
         while True:
             connection = await connect(self, host, port)
             if connection is not None:
+                self._ended.clear()
                 self.connection = connection
                 connection.send(Hello(self.group.node))
                 self.group.on_link_open(self)
-                await self._closed(connection)
+                if not connection.closed:
+                    await self._ended.wait()
+                self.connection = None
             await asyncio.sleep(RECONNECT_S)
 
-    async def _closed(self, connection: Connection) -> None:
-        self._ended = asyncio.Event()
-        if not connection.closed:
-            await self._ended.wait()
-
     def on_message(self, connection: Connection, message: Message) -> None:
-        """Nothing is sent this way but the other side's name."""
-        if isinstance(message, Hello):
-            self.identity = message.node.identity
+        """Nothing: the other side only says its name."""
 
     def on_closed(self, connection: Connection) -> None:
         self.connection = None
-        if hasattr(self, "_ended"):
-            self._ended.set()
+        self._ended.set()
 
 
 class GroupDriver:
@@ -76,20 +70,21 @@
     def __init__(self, replica: Replica, node: NodeRecord, on_change: Callable[[], None]) -> None:
         self.replica = replica
         self.node = node
-        self.retired: set[str] = set()  # identities that must not be members
+        self.roster = Roster(node.identity, node.zone)
         self._on_change = on_change
         self._links: dict[str, Link] = {}  # by address
         self._incoming: dict[str, Connection] = {}  # by identity
-        self._zones = {node.identity: node.zone}
         self._logged_members: frozenset[str] = frozenset()
         self._writes: list[Write] = []
         self._waiting: list[asyncio.Future[None]] = []  # for the writes that are not proposed yet
-        self._proposed: list[tuple[int, int, asyncio.Future[None]]] = []  # epoch, version
+        self._commits: CommitQueue[asyncio.Future[None]] = CommitQueue(replica)
         self._flush: asyncio.TimerHandle | None = None
         self._ticker = asyncio.get_running_loop().create_task(self._tick())
 
-    def now(self) -> float:
-        return asyncio.get_running_loop().time()
+    @staticmethod
+    def now() -> float:
+        """Danger: the event loop's own clock stands still within a turn, in which a process may be frozen."""
+        return time.monotonic()
 
     def stop(self) -> None:
         """Tick no more, and open no more connections."""
@@ -102,6 +97,10 @@
     def leads(self) -> bool:
         return self.replica.leads(self.now())
 
+    def settled(self) -> bool:
+        """Whether all of the primary's state is committed."""
+        return self.replica.settled(self.now())
+
     def know(self, target: str) -> None:
         """A replica may listen at this address."""
         if target != address_of(self.replica.identity) and target not in self._links:
@@ -123,6 +122,21 @@
             self._flush = asyncio.get_running_loop().call_later(FLUSH_S, self._propose)
         await future
 
+    async def settle(self) -> None:
+        """Returns once all that this primary's state holds now is committed in its epoch.
+
+        Raises:
+            NotPrimary: this replica does not lead.
+            CommitUnknown: the primary's role was lost meanwhile.
+        """
+        if not self.leads():
+            raise NotPrimary
+        if self.settled():
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._commits.add(self.replica.position, future)
+        await future
+
     def _propose(self) -> None:
         self._flush = None
         writes, self._writes = self._writes, []
@@ -137,7 +151,8 @@
             log.error("write failed, stepping down: %s", error)
             self._fail(waiting, CommitUnknown())
         else:
-            self._proposed += [(position.epoch, position.version, future) for future in waiting]
+            for future in waiting:
+                self._commits.add(position, future)
         self._after()
 
     @staticmethod
@@ -149,20 +164,18 @@
     # --- connections ---
 
     def on_link_open(self, link: Link) -> None:
-        for identity in list(self._peers_at(link.target)):
-            self.replica.connected(self.now(), identity)
-        self._after()
-
-    def _peers_at(self, target: str) -> set[str]:
         known = self.replica.members | set(self._incoming)
-        return {identity for identity in known if address_of(identity) == target}
+        for identity in sorted(known):
+            if address_of(identity) == link.target:
+                self.replica.connected(self.now(), identity)
+        self._after()
 
     def greeted(self, connection: Connection, node: NodeRecord) -> None:
-        """Another replica has connected to us; whoever was at its address before is gone."""
+        """Another replica has connected to us."""
         for identity in [i for i in self._incoming if address_of(i) == address_of(node.identity)]:
             del self._incoming[identity]
         self._incoming[node.identity] = connection
-        self._zones[node.identity] = node.zone
+        self.roster.greeted(node.identity, node.name, node.zone)
         connection.send(Hello(self.node))
         self.know(address_of(node.identity))
 
@@ -173,6 +186,7 @@
     def lost(self, identity: str, connection: Connection) -> None:
         if self._incoming.get(identity) is connection:
             del self._incoming[identity]
+            self.roster.lost(identity)
 
     # --- time ---
 
@@ -184,55 +198,37 @@
             self._after()
 
     def tend_members(self) -> None:
-        """Tell the replica who wants to belong, and who must not."""
         for member in self.replica.members:
             self.know(address_of(member))
-        if self.replica.role is not Role.PRIMARY:
-            return
-        for identity in self.retired:
-            if identity in self.replica.members:
-                self.replica.expel(identity)
-        present = {address_of(identity): identity for identity in self._incoming}
-        for member in self.replica.members:
-            if present.get(address_of(member), member) != member:
-                self.replica.expel(member)  # its disk is gone, and another has taken its place
-        wanting = [i for i in self._incoming if i not in self.retired and i not in self.replica.members]
-        self.replica.candidates = sorted(wanting, key=self._zone_rank)
-
-    def _zone_rank(self, identity: str) -> tuple[bool, str]:
-        """Candidates from zones that have no member come first."""
-        covered = {self._zones.get(member, "") for member in self.replica.members - self.retired}
-        return self._zones.get(identity, "") in covered, identity
+        self.roster.tend(self.replica)
 
     def flush(self) -> None:
         """Send what the replica has left to be sent."""
         self._after()
 
     def _after(self) -> None:
-        outbox, self.replica.outbox = self.replica.outbox, []
-        for outgoing in outbox:
-            link = self._links.get(address_of(outgoing.recipient))
-            if link is not None and link.connection is not None:
-                link.connection.send(outgoing.message)
+        """Send what the replica wants sent, and tell of what may have changed, until no more comes of it."""
+        self._send_all()
         self._resolve()
         if self.replica.members != self._logged_members:
             self._logged_members = self.replica.members
             log.info("members %s", " ".join(sorted(self._logged_members)))
         self._on_change()
+        if self.replica.outbox:
+            self._after()
+
+    def _send_all(self) -> None:
+        outbox, self.replica.outbox = self.replica.outbox, []
+        for outgoing in outbox:
+            link = self._links.get(address_of(outgoing.recipient))
+            if link is not None and link.connection is not None:
+                link.connection.send(outgoing.message)
 
     def _resolve(self) -> None:
-        replica = self.replica
-        if not self._proposed:
-            return
-        leads = replica.role is Role.PRIMARY
-        rest = []
-        for epoch, version, future in self._proposed:
+        for future, fate in self._commits.take():
             if future.done():
                 continue
-            if not leads or epoch != replica.epoch:
-                future.set_exception(CommitUnknown())
-            elif version <= replica.committed:
+            if fate is Fate.COMMITTED:
                 future.set_result(None)
             else:
-                rest.append((epoch, version, future))
-        self._proposed = rest
+                future.set_exception(CommitUnknown())
--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass, field
 
 from eiderhub.coordination.messages import ReplicaMessage, Update, Write
-from eiderhub.coordination.replication import NOWHERE, GroupSize, Replica, Role, StoreFailed
+from eiderhub.coordination.replication import Replica, Role
+from eiderhub.coordination.store import NOWHERE, StoreFailed
+from eiderhub.coordination.timing import GroupSize
 from eiderhub.storage.store import MemoryStore
 
 STEP_S = 0.05
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -26,7 +26,7 @@
     current: Document | None, base: int, body: Document, taken: bytes | None = None, patch: bool = False
 ) -> Accepted | ErrorKind:
     change = Change(base, patch, json.dumps(body).encode())
-    decided = configuration.decide(current, taken, change, body)
+    decided = configuration.decide(current, taken, 0, change, body)
     return decided.ok_value if isinstance(decided, Ok) else decided.err_value.kind
 
 
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -7,7 +7,8 @@
 from typing import cast
 
 from eiderhub.control.messages import Hello, NodeRecord
-from eiderhub.coordination.replication import GroupSize, Replica, Role
+from eiderhub.coordination.replication import Replica, Role
+from eiderhub.coordination.timing import GroupSize
 from eiderhub.storage.store import MemoryStore
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import GroupDriver
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -16,7 +16,8 @@
     Update,
     Write,
 )
-from eiderhub.coordination.replication import GroupSize, Replica, Role, Timing
+from eiderhub.coordination.replication import Replica, Role
+from eiderhub.coordination.timing import GroupSize, Timing
 from eiderhub.storage.store import MemoryStore
 from tests.replication_support import World
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from eiderhub.coordination.messages import Position, Update, Write
-from eiderhub.coordination.replication import NOWHERE
+from eiderhub.coordination.messages import Position, Staged, Update, Write
+from eiderhub.coordination.store import NOWHERE
 from eiderhub.storage.store import LmdbStore, StoreUnusable
 
 DISK_MB = 16.0
@@ -35,7 +35,8 @@
 def test_snapshot_replaces_all(tmp_path: Path) -> None:
     store = LmdbStore(tmp_path, DISK_MB, "id@h:1")
     store.apply([update(1, Write("old", b"1"))])
-    store.install(Position(4, 9), [Write("new", b"2"), Write("new/1", b"3")])
+    store.stage([Write("new", b"2"), Write("new/1", b"3")], Staged(Position(4, 9), "new/1"), first=True)
+    store.install_staged()
     assert store.position == Position(4, 9)
     assert dict(store.scan("new")) == {"new": b"2", "new/1": b"3"}
     assert store.get("old") is None
@@ -61,7 +62,7 @@
     import resource, signal, sys
     from pathlib import Path
     from eiderhub.coordination.messages import Position, Update, Write
-    from eiderhub.coordination.replication import StoreFailed
+    from eiderhub.coordination.store import StoreFailed
     from eiderhub.storage.store import LmdbStore
 
     signal.signal(signal.SIGXFSZ, signal.SIG_IGN)  # a write beyond the limit fails, as on a full disk
