--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -23,11 +23,11 @@
     NodesUpdate,
     SessionOpen,
     SessionPing,
-    SessionPong,
     SpendingUpdate,
     TableVersion,
 )
 from eiderhub.control.platform import PlatformReader, PlatformUnavailable
+from eiderhub.control.publication import Publication
 from eiderhub.control.sessions import SessionTable
 from eiderhub.control.spending import LEASED_PREFIX, SpendingLedger, tenants_of
 from eiderhub.coordination.messages import Write
@@ -86,6 +86,7 @@
         self._session = ControlSession(
             node, self.tables, self._primary_address, self._push, self._describe, self._on_lease_answer
         )
+        self._publication = Publication(self.tables, self._session.freshness, self._leads_at)
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._publish()), loop.create_task(self._read_list())]
 
@@ -123,16 +124,8 @@
             self._table.report(now, session.node.identity, ping.attached)
         if ping.group is not None:
             self._storage.report = ping.group
-        session.subscriber.acknowledge(ping)
-        # The answer speaks for all that was sent before it: what is new goes first.
-        self._push_to(connection, session)
-        connection.send(SessionPong(ping.sent_at, self._age()))
-
-    def _age(self) -> float | None:
-        """Seconds since what this node tells was what the primary had; None: it must not be told."""
-        if self.group.leads():
-            return 0.0 if self._is_loaded() else None
-        return self._session.freshness.age(self._now())
+        for message in self._publication.answer(now, session.subscriber, ping):
+            connection.send(message)
 
     def _is_loaded(self) -> bool:
         """Whether this primary's tables are of its own epoch."""
@@ -155,9 +148,8 @@
             self._push_to(connection, session)
 
     def _push_to(self, connection: Connection, session: Session) -> None:
-        if self._age() is not None:
-            for update in session.subscriber.pending(self.tables):
-                connection.send(update)
+        for update in self._publication.pending(self._now(), session.subscriber):
+            connection.send(update)
 
     # --- leading ---
 
@@ -177,7 +169,10 @@
 
     def _leads(self) -> bool:
         """Whether this node leads, with the state of its own epoch."""
-        return self.group.leads() and self._is_loaded()
+        return self._leads_at(self._now())
+
+    def _leads_at(self, now: float) -> bool:
+        return self.group.replica.leads(now) and self._is_loaded()
 
     def _storage_nodes(self) -> list[NodeRecord]:
         return [n for n in self._table.all(self._now()) if n.role == "storage" and n.identity]
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -467,10 +467,7 @@
         lines = block.strip().splitlines()
         if lines[0].startswith("|"):
             assert len({line.count("|") for line in lines}) == 1 and len({len(line) for line in lines}) == 1
-    order = [
-        int(line.split("|")[1].replace(",", ""))
-        for line in table.broken(found).splitlines()[2:]
-    ]
+    order = [int(line.split("|")[1].replace(",", "")) for line in table.broken(found).splitlines()[2:]]
     assert order == sorted(order) and len(order) == sum(one.holds is False for one in found.figures)
 
 
