--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -25,6 +25,7 @@
 MOST_ITEMS = 200
 MOST_PAGE = 1_000_000  # bytes of results in one answer
 RETENTION_SLACK_S = 5.0  # clocks of machines differ: an item is given up so much later
+PURGE_SLACK_S = 60.0  # a job is forgotten so long after its results need to be told no more
 
 
 class BatchTerms(NamedTuple):
@@ -226,6 +227,23 @@
         route = job.record.route
         self._queued[route] = max(0.0, self._queued.get(route, 0.0) - tokens)
 
+    def purge(self, wall: float, status_ttl_s: float) -> list[Write]:
+        """Forget the oldest job that is over and that nobody may ask for any more, where there is one.
+
+        A job sent again so late would be taken as new: its client has given up long before.
+        """
+        for job in self.jobs.values():
+            record = job.record
+            kept_s = max(status_ttl_s, record.retention_s) + PURGE_SLACK_S
+            over = record.ended or job.visible == len(job.items)
+            if over and wall > record.accepted_at + kept_s:
+                self.jobs.pop(record.id)
+                self._bodies.pop(record.id, None)
+                results = [_result_key(record.id, position) for position in range(job.positions)]
+                keys = [JOB_PREFIX + record.id, BODY_PREFIX + record.id, *results]
+                return [Write(key, None) for key in keys]
+        return []
+
     # --- results ---
 
     def finish(self, key: ItemKey, succeeded: bool, text: str) -> list[Write]:
--- a/eiderhub/coordination/messages.py
+++ b/eiderhub/coordination/messages.py
@@ -43,6 +43,7 @@
     updates: list[Update]
     committed: int  # version
     sent_at: float  # primary's clock, in seconds; returned with the answer
+    staged: bool = False  # a snapshot is on its way: `previous` may be the staged state
 
 
 class SnapshotChunk(Struct, tag=True, frozen=True):
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -187,7 +187,7 @@
         self._note(writes)
         for identity, peer in self._peers.items():
             if peer.sent == previous:
-                self._send(identity, self._replicate(now, previous, [update]))
+                self._send(identity, self._replicate(now, peer, previous, [update]))
                 peer.sent = update.position
         self._advance()
         return update.position
@@ -295,7 +295,7 @@
                 self._note([write for update in message.updates for write in update.writes])
             return True
         staged = self.store.staged
-        if staged is not None and message.previous == staged.position:
+        if message.staged and staged is not None and message.previous == staged.position:
             if message.updates:
                 self.store.stage_updates(message.updates)
             return True
@@ -463,10 +463,11 @@
             self._probe(now, identity, peer)
 
     def _probe(self, now: float, identity: str, peer: Peer) -> None:
-        self._send(identity, self._replicate(now, peer.sent or self.position, []))
+        self._send(identity, self._replicate(now, peer, peer.sent or self.position, []))
 
-    def _replicate(self, now: float, previous: Position, updates: list[Update]) -> Replicate:
-        return Replicate(self.epoch, previous, updates, self.committed, now)
+    def _replicate(self, now: float, peer: Peer, previous: Position, updates: list[Update]) -> Replicate:
+        staged = peer.transfer is not None
+        return Replicate(self.epoch, previous, updates, self.committed, now, staged)
 
     def _on_replicated(self, now: float, sender: str, message: Replicated) -> None:
         if message.epoch > self.epoch:
@@ -485,8 +486,9 @@
             return
         if self._knows(message.position):
             peer.matched = message.position
+            peer.transfer = None
             self._advance()
-        if peer.transfer is not None:
+        elif peer.transfer is not None:
             self._go_on(now, sender, peer, peer.transfer, message)
 
     def _knows(self, position: Position) -> bool:
@@ -504,7 +506,7 @@
         peer.matched = told.position
         peer.sent = self.position
         if rest:
-            self._send(identity, self._replicate(now, told.position, rest))
+            self._send(identity, self._replicate(now, peer, told.position, rest))
         self._advance()
 
     def _begin_snapshot(self, now: float, identity: str, peer: Peer, staged: Staged | None) -> None:
@@ -513,16 +515,14 @@
         peer.transfer = SnapshotTransfer(staged if missed is not None else None)
         peer.sent = self.position
         if staged is not None and missed:
-            self._send(identity, self._replicate(now, staged.position, missed))
+            self._send(identity, self._replicate(now, peer, staged.position, missed))
         self._send_chunks(now, identity, peer.transfer)
 
     def _go_on(
         self, now: float, identity: str, peer: Peer, transfer: SnapshotTransfer, told: Replicated
     ) -> None:
         """A replica has answered while a snapshot is on its way to it."""
-        if peer.matched == told.position:
-            peer.transfer = None  # it is whole
-        elif transfer.is_lost(told):
+        if transfer.is_lost(told):
             self._catch_up(now, identity, peer, told)
         elif told.staged is not None:
             transfer.answered(told.staged.through)
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -11,10 +11,9 @@
 import picologging as logging
 
 from eiderhub import address
-from eiderhub.control import configuration, retirement
+from eiderhub.control import retirement
 from eiderhub.control.distribution import Subscriber, Tables
 from eiderhub.control.messages import (
-    ConfigurationUpdate,
     EndpointRecord,
     EndpointsUpdate,
     LeaseAnswer,
@@ -72,12 +71,8 @@
         self.operator = OperatorService(
             node, self.group, store, self.tables, control_port, least, self._storage_nodes
         )
-        for seed in self._seeds():
-            self.group.know(seed)
-        self._epoch = 0  # the last one that this node has led
         self._led_since = 0.0
         self._number = 0
-        self._published = 0  # generation
         self._reader = PlatformReader(settings.platform) if settings.platform else None
         self._ledger = SpendingLedger()
         self._leasing: set[asyncio.Future[None]] = set()
@@ -86,7 +81,11 @@
         self._session = ControlSession(
             node, self.tables, self._primary_address, self._push, self._describe, self._on_lease_answer
         )
-        self._publication = Publication(self.tables, self._session.freshness, self._leads_at)
+        self._publication = Publication(
+            self.tables, self._session.freshness, self.group.replica, self.operator.desk
+        )
+        for seed in self._seeds():
+            self.group.know(seed)
         loop = asyncio.get_running_loop()
         self._tasks = [loop.create_task(self._publish()), loop.create_task(self._read_list())]
 
@@ -127,10 +126,6 @@
         for message in self._publication.answer(now, session.subscriber, ping):
             connection.send(message)
 
-    def _is_loaded(self) -> bool:
-        """Whether this primary's tables are of its own epoch."""
-        return self._epoch == self.group.replica.epoch
-
     def _primary_address(self) -> list[str]:
         primary = self.group.replica.primary
         if primary is None or primary == self._node.identity:
@@ -154,25 +149,23 @@
     # --- leading ---
 
     def _on_change(self) -> None:
-        replica = self.group.replica
         self.operator.step()
-        if not self._is_loaded() and self.operator.desk.leads(self._now()):
-            self._epoch = replica.epoch
-            self._led_since = self._now()
+        now = self._now()
+        if self._publication.begin(now):
+            replica = self.group.replica
+            self._led_since = now
             self._number = 0
-            self._published = 0
             self._storage.begin()
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
             self._restore_sessions()
             self._ledger.load(dict(self._store.scan(LEASED_PREFIX)))
-        self._apply_configuration()
+            self._on_configuration()
+        elif self._publication.follow(now) is not None:
+            self._on_configuration()
 
     def _leads(self) -> bool:
         """Whether this node leads, with the state of its own epoch."""
-        return self._leads_at(self._now())
-
-    def _leads_at(self, now: float) -> bool:
-        return self.group.replica.leads(now) and self._is_loaded()
+        return self._publication.leads(self._now())
 
     def _storage_nodes(self) -> list[NodeRecord]:
         return [n for n in self._table.all(self._now()) if n.role == "storage" and n.identity]
@@ -185,17 +178,14 @@
             self._table.restore(self._now(), nodes, sidecars)
             self._publish_nodes()
 
-    def _apply_configuration(self) -> None:
-        """Publish the newest committed configuration, where this primary has not."""
-        newest = self.operator.desk.newest(self._now())
-        if newest is None or newest.generation == self._published:
-            return
-        self._published = newest.generation
-        if self.tables.apply(ConfigurationUpdate(newest.generation, newest.body)):
-            self._push()
-            log.info("configuration %d is in force", newest.generation)
-        self._ledger.follow(tenants_of(configuration.read(newest.body).unwrap()))
-        self._publish_spending()
+    def _on_configuration(self) -> None:
+        """The newest committed configuration is another one."""
+        current = self.tables.configuration
+        self._push()
+        if current.generation:
+            log.info("configuration %d is in force", current.generation)
+            self._ledger.follow(tenants_of(current.document))
+            self._publish_spending()
 
     # --- spending ---
 
@@ -235,7 +225,7 @@
 
     def _next_version(self) -> TableVersion:
         self._number += 1
-        return TableVersion(self._epoch, self._number)
+        return TableVersion(self._publication.epoch, self._number)
 
     async def _publish(self) -> None:
         while True:
@@ -271,18 +261,19 @@
             if not self._leads() or self._reader is None:
                 await asyncio.sleep(PUBLISH_S)
                 continue
-            started, epoch = self._now(), self._epoch
+            started, epoch = self._now(), self._publication.epoch
             try:
                 listed = await asyncio.to_thread(self._reader.read)
             except PlatformUnavailable as error:
                 log.warning("the platform's list could not be read: %s", error)
             else:
-                if self._leads() and self._epoch == epoch:
+                if self._leads() and self._publication.epoch == epoch:
                     self._listed(listed)
             await asyncio.sleep(max(0.05, pause - (self._now() - started)))
 
     def _listed(self, listed: list[EndpointRecord]) -> None:
-        if listed != self.tables.endpoints.endpoints or self.tables.endpoints.version.epoch != self._epoch:
+        current = self.tables.endpoints
+        if listed != current.endpoints or current.version.epoch != self._publication.epoch:
             self.tables.apply(EndpointsUpdate(self._next_version(), listed))
             self._push()
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -349,6 +349,7 @@
                 if self._now() >= self._next_hopeless and self._routes is not None and self._session.fresh():
                     self._next_hopeless = self._now() + HOPELESS_S
                     await self._bury()
+                    await self._purge()
 
     def _dispatch(self) -> None:
         now, wall = self._now(), time.time()
@@ -377,5 +378,14 @@
                     return
                 self._listed(item.job.record.id, positions)
 
+    async def _purge(self) -> None:
+        """Forget one job that is long over."""
+        writes = self._jobs.purge(time.time(), self._settings.status_ttl_s)
+        if writes:
+            try:
+                await self.group.write(writes)
+            except (NotPrimary, CommitUnknown):
+                return  # the next primary has it in its table still, and forgets it then
+
     async def stop(self) -> None:
         await self._host.stop()
