--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -479,8 +479,8 @@
             return
         peer.heard = now
         self._lease.confirm(sender, message.sent_at)
-        if message.gap and peer.sent is not None and message.sent_at < peer.caught_up_at:
-            return  # answers what was sent before that
+        if message.gap and peer.sent is not None and message.sent_at <= peer.caught_up_at:
+            return  # answers what was sent before that; the next heartbeat shows whether it arrived
         if message.gap or peer.sent is None:
             self._catch_up(now, sender, peer, message)
             return
--- a/tests/model/clock.py
+++ b/tests/model/clock.py
@@ -14,9 +14,17 @@
     call: Callable[[], None]
 
 
+MOST_EVENTS = 400_000  # of one run
+
+
+class RunAway(AssertionError):
+    """Events breed events without end."""
+
+
 class Timeline:
     def __init__(self) -> None:
         self.now = 0.0
+        self._played = 0
         self._events: list[_Event] = []
         self._serial = itertools.count()
 
@@ -30,6 +38,9 @@
         while self._events and self._events[0].at <= end:
             event = heapq.heappop(self._events)
             self.now = event.at
+            self._played += 1
+            if self._played > MOST_EVENTS:
+                raise RunAway(f"{MOST_EVENTS} events by {self.now:.2f} s")
             event.call()
         self.now = end
 
--- a/tests/model/network.py
+++ b/tests/model/network.py
@@ -13,7 +13,8 @@
 
 from tests.model.clock import Timeline
 
-LEAST_DELAY_S, MEAN_DELAY_S = 0.0005, 0.002
+LEAST_DELAY_S = 0.0005
+MEAN_DELAYS_S = (0.002, 0.002, 0.01, 0.03)  # one of them in each run
 GIVE_UP_S = 1.5  # a connection whose bytes are not acknowledged for so long is broken
 RECONNECT_S = 0.2
 RETRANSMIT_S = 0.1
@@ -39,6 +40,7 @@
     def __init__(self, timeline: Timeline, rng: random.Random) -> None:
         self.timeline = timeline
         self.rng = rng
+        self._mean_delay_s = rng.choice(MEAN_DELAYS_S)
         self._cut: set[tuple[str, str]] = set()  # from, to
 
     def cut(self, sources: set[str], targets: set[str], one_way: bool = False) -> None:
@@ -55,7 +57,7 @@
         return (source, target) not in self._cut
 
     def delay(self) -> float:
-        return LEAST_DELAY_S + self.rng.expovariate(1.0 / MEAN_DELAY_S)
+        return LEAST_DELAY_S + self.rng.expovariate(1.0 / self._mean_delay_s)
 
 
 class Link:
--- /dev/null
+++ b/tests/model/planted.py
@@ -0,0 +1,271 @@
+"""Planted faults: each takes one guard out of the product, and some schedule must find it.
+
+A guard that no schedule misses is not needed, or the model lacks something.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+from unittest import mock
+
+import msgspec
+
+from eiderhub.control import configuration, retirement
+from eiderhub.control.desk import Answer, Desk, Outcome
+from eiderhub.control.messages import SessionPong
+from eiderhub.control.publication import Publication
+from eiderhub.coordination import catch_up, membership, witness
+from eiderhub.coordination.commits import CommitQueue
+from eiderhub.coordination.lease import Lease
+from eiderhub.coordination.replication import Replica, Role
+from eiderhub.coordination.roster import Roster
+from eiderhub.coordination.timing import Timing
+from tests.model import members, world
+from tests.model.disk import Disk, LazyDisk
+from tests.model.members import Machine
+
+Patch = tuple[Any, str, Any]
+
+
+class PlantedFault(NamedTuple):
+    name: str
+    point: int  # of the five that the operators keep meeting; 0: a base that all of them rest on
+    schedules: tuple[str, ...]  # which find it
+    patches: tuple[Patch, ...] = ()
+    disk: Callable[[], Disk] = Disk
+
+    @contextmanager
+    def planted(self) -> Iterator[None]:
+        with _all(self.patches):
+            yield
+
+
+@contextmanager
+def _all(patches: tuple[Patch, ...]) -> Iterator[None]:
+    if not patches:
+        yield
+        return
+    target, name, value = patches[0]
+    with mock.patch.object(target, name, value), _all(patches[1:]):
+        yield
+
+
+class ForgetfulDisk(Disk):
+    """What the witness granted is gone once the process has ended."""
+
+    def lose_power(self) -> None:
+        self.epoch = min(self.epoch, self.position.epoch)
+
+
+def _always(value: Any) -> Callable[..., Any]:
+    return lambda *arguments, **named: value
+
+
+_on_replicated = Replica._on_replicated
+_take_chunk = Replica._take_chunk
+_begin = Desk._begin
+_leads = Replica.leads
+_age = Publication.age
+_next_state = retirement.next_state
+_decide = configuration.decide
+_answer = Publication.answer
+
+
+def _confirm_on_arrival(self: Replica, now: float, sender: str, message: Any) -> None:
+    _on_replicated(self, now, sender, msgspec.structs.replace(message, sent_at=now))
+
+
+def _lead_again(self: Replica, now: float) -> None:
+    self._transfer_until = None
+
+
+def _install_each_chunk(self: Replica, chunk: Any) -> bool:
+    return _take_chunk(self, msgspec.structs.replace(chunk, last=True))
+
+
+def _answer_repeat_at_once(self: Any, now: float, order: Any) -> Any:
+    if self.leads(now):
+        decided = self._decide(order.change)
+        if decided.is_ok() and not decided.ok_value.writes:
+            return Answer(order.caller, Outcome.ACKNOWLEDGED)
+    return _begin(self, now, order)
+
+
+def _decide_on_what_is_written(self: Any, now: float, order: Any) -> Any:
+    """Changes are decided on the store's state, committed or not, and answered from it."""
+    self._read_newest()
+    return _answer_repeat_at_once(self, now, order)
+
+
+def _read_what_is_written(self: Any, now: float) -> Any:
+    if self._replica.role is not Role.PRIMARY:
+        return None
+    self._read_newest()
+    return self._newest
+
+
+def _vouch_before_telling(self: Publication, now: float, subscriber: Any, ping: Any) -> list[Any]:
+    told = _answer(self, now, subscriber, ping)
+    return [each for each in told if isinstance(each, SessionPong)] + [
+        each for each in told if not isinstance(each, SessionPong)
+    ]
+
+
+def _vouch_as_primary(self: Publication, now: float) -> float | None:
+    return None if _age(self, now) is None else 0.0
+
+
+def _same_version(self: Replica, previous: Any) -> bool:
+    return bool(previous.version == self.position.version)
+
+
+def _not_newer(self: Replica, position: Any) -> bool:
+    return bool(position.version <= self.position.version)
+
+
+def _leads_unsettled(self: Replica, now: float) -> bool:
+    return self.leads(now)
+
+
+def _enough_live(view: Any, size: Any) -> bool:
+    return bool(len(view.live) >= size.least)
+
+
+def _all_synced(view: Any, size: Any) -> bool:
+    return all(bool(view.synced(member)) for member in view.live)
+
+
+def _answers(view: Any, learner: str) -> bool:
+    return learner not in view.leaving and bool(view.heard(learner))
+
+
+def _whoever_has_all(view: Any, learner: str) -> bool:
+    return bool(view.synced(learner)) and bool(view.heard(learner))
+
+
+def _equal_epoch(view: Any, request: Any) -> bool:
+    return bool(request.epoch >= view.epoch)
+
+
+def _some_are_unled(self: Replica, now: float) -> bool:
+    return self._young(now) or bool(self._unled)
+
+
+def _any_candidate(self: Roster, replica: Replica, retiring: Any) -> list[str]:
+    return sorted(i for i in self._present.values() if i not in replica.members)
+
+
+def _expel_nobody(self: Replica, identity: str) -> None: ...
+
+
+def _keep_identity(self: Machine) -> None:
+    self.lose_power()
+    self.disk = self.world.make_disk()
+
+
+def _resume_anything(self: Any, resumed: Any) -> None:
+    _transfer_init(self, resumed)
+
+
+_transfer_init = catch_up.SnapshotTransfer.__init__
+
+
+def _empty_without_bar(order: Any, report: Any) -> bool:
+    return bool(report.synced) and set(order.identities).isdisjoint(report.members)
+
+
+def _empty_unsynced(order: Any, report: Any) -> bool:
+    return set(order.identities) <= set(report.barred)
+
+
+def _first_identity_only(name: str, order: Any, nodes: Any, report: Any) -> Any:
+    return _next_state(name, order, [], report)
+
+
+def _forget_taken(current: Any, taken: Any, forgotten: int, change: Any, document: Any) -> Any:
+    return _decide(current, None, forgotten, change, document)
+
+
+def _note_on_arrival(freshness: Any, answer: Any, now: float) -> None:
+    freshness.answered(now, answer.age_s)
+
+
+def _fate_of_any_epoch(self: Any, epoch: int) -> bool:
+    return self._replica.role is Role.PRIMARY
+
+
+def _timing(**changed: float) -> Patch:
+    return (world, "Timing", lambda: Timing()._replace(**changed))
+
+
+ALL = ("within", "beyond", "retirements")
+FAULTS = (
+    PlantedFault("a granted epoch is granted again", 0, ALL, ((witness, "is_new_epoch", _equal_epoch),)),
+    PlantedFault("a candidate may lack what the witness has", 0, ALL, ((witness, "has_all", _always(True)),)),
+    PlantedFault("a witness grants though it follows a primary", 1, ALL,
+                 ((witness, "is_led", _always(False)),)),
+    PlantedFault("a witness grants at once after its start", 1, ALL,
+                 ((witness, "is_young", _always(False)), (Replica, "_young", _always(False)))),
+    PlantedFault("not every member says that it is unled", 1, ALL,
+                 ((Replica, "_nobody_is_led", _some_are_unled),)),
+    PlantedFault("the lease is longer than the election wait", 1, ALL, (_timing(lease=1.8),)),
+    PlantedFault("there is no lease", 1, ALL, ((Lease, "end", _always(float("inf"))),)),
+    PlantedFault("the lease counts from an answer's arrival", 1, ALL,
+                 ((Replica, "_on_replicated", _confirm_on_arrival),)),
+    PlantedFault("a primary leads again in an epoch that it gave away", 1, ALL,
+                 ((Replica, "_take_back", _lead_again),)),
+    PlantedFault("freshness counts from an answer's arrival", 1, ALL,
+                 ((members, "note_answer", _note_on_arrival),)),
+    PlantedFault("a backup vouches as if it were the primary", 1, ALL,
+                 ((Publication, "age", _vouch_as_primary),)),
+    PlantedFault("whoever is asked vouches for what it has", 1, ALL, ((Publication, "age", _always(0.0)),)),
+    PlantedFault("the answer that vouches comes before what it vouches for", 1, ALL,
+                 ((Publication, "answer", _vouch_before_telling),)),
+    PlantedFault("a primary leads before its epoch is committed", 2, ALL,
+                 ((Replica, "_epoch_is_committed", _always(True)),)),
+    PlantedFault("an earlier epoch's write is committed by counting", 2, ALL,
+                 ((Replica, "_commits", _always(True)),)),
+    PlantedFault("two changes are decided at once, on what is written", 2, ALL,
+                 ((Desk, "_is_busy", _always(False)), (Desk, "_begin", _decide_on_what_is_written))),
+    PlantedFault("what is written is read before it is committed", 2, ALL,
+                 ((Desk, "newest", _read_what_is_written),)),
+    PlantedFault("a change that was taken is not remembered", 2, ALL,
+                 ((configuration, "decide", _forget_taken),)),
+    PlantedFault("a waiter is told of another epoch's commit", 2, ALL,
+                 ((CommitQueue, "_leads_epoch", _fate_of_any_epoch),)),
+    PlantedFault("a silent member stays for six seconds", 3, ALL, (_timing(replace_after=6.0),)),
+    PlantedFault("a replaced member stays", 3, ALL, ((Replica, "expel", _expel_nobody),)),
+    PlantedFault("members change on top of an uncommitted change", 3, ALL,
+                 ((Replica, "_may_change_members", _leads_unsettled),)),
+    PlantedFault("a member goes before the others have all", 3, ALL,
+                 ((membership, "may_remove", _enough_live),)),
+    PlantedFault("a member goes though too few remain", 3, ALL, ((membership, "may_remove", _all_synced),)),
+    PlantedFault("a learner belongs before it has all", 3, ALL, ((membership, "may_admit", _answers),)),
+    PlantedFault("a retired replica may belong again", 3, ALL,
+                 ((membership, "may_admit", _whoever_has_all), (Roster, "candidates", _any_candidate),
+                  (membership, "next_learner", lambda view, learners, candidates, given_up: next(
+                      (c for c in candidates if c not in view.members and c not in learners), None)))),
+    PlantedFault("a machine is empty though nothing bars it", 3, ALL,
+                 ((retirement, "is_empty", _empty_without_bar),)),
+    PlantedFault("a machine is empty before the others have all", 3, ALL,
+                 ((retirement, "is_empty", _empty_unsynced),)),
+    PlantedFault("a retirement is of the first disk alone", 3, ALL,
+                 ((retirement, "next_state", _first_identity_only),
+                  (retirement, "is_empty", _empty_without_bar))),
+    PlantedFault("a wiped replica keeps its identity", 3, ALL, ((Machine, "wipe", _keep_identity),)),
+    PlantedFault("a disk acknowledges before it has synced", 4, ALL, (), LazyDisk),
+    PlantedFault("a witness forgets what it granted", 4, ALL, (), ForgetfulDisk),
+    PlantedFault("a backup takes what a past primary sends", 4, ALL,
+                 ((Replica, "_is_outdated", _always(False)),)),
+    PlantedFault("a backup takes updates by their number alone", 4, ALL,
+                 ((Replica, "_follows", _same_version),)),
+    PlantedFault("a state is known by its number alone", 4, ALL, ((Replica, "_knows", _not_newer),)),
+    PlantedFault("a chunk is staged wherever it comes", 4, ALL, ((Replica, "_continues", _always(True)),)),
+    PlantedFault("a snapshot is installed before it is whole", 4, ALL,
+                 ((Replica, "_take_chunk", _install_each_chunk),)),
+    PlantedFault("a snapshot replaces a newer state", 4, ALL, ((Replica, "_is_behind_us", _always(False)),)),
+    PlantedFault("updates during a snapshot are not staged", 4, ALL,
+                 ((Disk, "stage_updates", _always(None)),)),
+)  # fmt: skip
--- a/tests/model/schedules.py
+++ b/tests/model/schedules.py
@@ -30,7 +30,7 @@
         machine.kill()
     else:
         machine.lose_power()
-    back = world.rng.uniform(0.3, 3.0)
+    back = world.rng.choice((world.rng.uniform(0.02, 0.1), world.rng.uniform(0.3, 3.0)))
     world.timeline.after(back, machine.start)
     return back
 
@@ -62,6 +62,18 @@
     return back
 
 
+def cut_pair(world: World, machine: Machine) -> float:
+    """Two machines lose each other; all others reach both."""
+    others = [address for address in world.machines if address != machine.address]
+    other = world.rng.choice(others)
+    sides = [{machine.address}, {other}]
+    world.rng.shuffle(sides)
+    world.network.cut(sides[0], sides[1], one_way=world.rng.random() < 0.5)
+    back = world.rng.uniform(0.3, 3.0)
+    world.timeline.after(back, world.network.heal)
+    return back
+
+
 def fill(world: World, machine: Machine) -> float:
     machine.disk.full = True
     back = world.rng.uniform(0.5, 3.0)
@@ -110,7 +122,7 @@
 
 
 LOSSES: list[Callable[[World, Machine], float]] = [
-    kill, wipe, freeze, cut, fill, replace, hand_over, everybody,
+    kill, wipe, freeze, cut, cut_pair, fill, replace, hand_over, everybody,
 ]  # fmt: skip
 
 
@@ -186,7 +198,7 @@
     wiped = False
     for _ in range(4):
         machine = leader_or_any(world) if any(m.process for m in world.machines.values()) else None
-        choices: list[Callable[[World, Machine], float]] = [kill, freeze, cut, fill, hand_over]
+        choices: list[Callable[[World, Machine], float]] = [kill, freeze, cut, cut_pair, fill, hand_over]
         if machine is None or world.rng.random() < 0.3:
             loss = world.rng.choice((halves, everybody_keeps_disks))
             world.note(loss.__name__)
@@ -220,6 +232,20 @@
     last_loss(world)
 
 
+def crossings(world: World) -> None:
+    """Short troubles without loss of disks, many at once: they cross elections, transfers and answers."""
+    world.run(world.rng.uniform(0.8, 1.5))
+    troubles: list[Callable[[World, Machine], float]] = [kill, freeze, cut, cut_pair, cut_pair, hand_over]
+    for _ in range(world.rng.randint(4, 12)):
+        if any(machine.process for machine in world.machines.values()):
+            machine = leader_or_any(world)
+            trouble = world.rng.choice(troubles)
+            world.note(f"{trouble.__name__} {machine.identity}")
+            trouble(world, machine)
+        world.run(world.rng.expovariate(3.0))
+    recover(world)
+
+
 def recover(world: World) -> None:
     """All come back; service must too, and everybody must catch up."""
     world.quiet()
@@ -239,7 +265,7 @@
     world.run_until(lambda: world.history.reads > reads, SERVES_S, "the configuration is read")
 
 
-SCHEDULES: tuple[Callable[[World], None], ...] = (within, beyond, retirements)
+SCHEDULES: tuple[Callable[[World], None], ...] = (within, beyond, crossings, retirements)
 
 
 def shape_of(seed: int, schedule: Callable[[World], None]) -> Shape:
