--- a/tests/replication_support.py
+++ b/tests/replication_support.py
@@ -8,41 +8,23 @@
 import random
 from dataclasses import dataclass, field
 
-from eiderhub.coordination.messages import ReplicaMessage, Update, Write
+from eiderhub.coordination.messages import ReplicaMessage, Write
 from eiderhub.coordination.replication import Replica, Role
 from eiderhub.coordination.store import NOWHERE, StoreFailed
 from eiderhub.coordination.timing import GroupSize
-from eiderhub.storage.store import MemoryStore
+from tests.model.disk import Disk
 
 STEP_S = 0.05
 KEY = "counter"
 
 
-class FailingStore(MemoryStore):
-    """A store whose disk may be full."""
-
-    full = False
-
-    def _check(self) -> None:
-        if self.full:
-            raise StoreFailed("no space left")
-
-    def grant(self, epoch: int) -> None:
-        self._check()
-        super().grant(epoch)
-
-    def apply(self, updates: list[Update]) -> None:
-        self._check()
-        super().apply(updates)
-
-
 @dataclass
 class Machine:
     """One place where a replica runs: its disk, and its process while it runs."""
 
     address: str
     identity: str
-    store: FailingStore
+    store: Disk
     replica: Replica | None = None
     frozen_until: float = 0.0
     cut: bool = False
@@ -70,7 +52,7 @@
         self.machines: dict[str, Machine] = {}
         names = [f"id{i}@m{i}" for i in range(self.count)]
         for i, identity in enumerate(names):
-            machine = Machine(f"m{i}", identity, FailingStore())
+            machine = Machine(f"m{i}", identity, Disk())
             self.machines[machine.address] = machine
             self.start(machine)
             assert machine.replica is not None
@@ -91,7 +73,7 @@
     def wipe(self, machine: Machine, for_s: float) -> None:
         """Its disk is gone; it comes back under another identity."""
         self.stop(machine, for_s)
-        machine.store = FailingStore()
+        machine.store = Disk()
         machine.identity = f"id{next(self.serial)}w@{machine.address}"
 
     def running(self) -> list[Machine]:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -15,7 +15,7 @@
 from tests.model.history import Broken
 from tests.model.schedules import SCHEDULES, play
 
-COUNT = int(os.environ.get("OTTERCLEAT_SCHEDULES", "6000"))
+COUNT = int(os.environ.get("OTTERCLEAT_SCHEDULES", "10000"))
 FIRST = int(os.environ.get("OTTERCLEAT_FIRST_SEED", "0"))
 BLOCK = 50
 SMALL_CHUNK_BYTES = 120  # so that the small state of a schedule takes several chunks
