--- a/eiderhub/capacity/tier.py
+++ b/eiderhub/capacity/tier.py
@@ -319,7 +319,7 @@
             "MB",
             None,
             "",
-            "spread over groups; purged after kept_s: not built",
+            "spread over groups; finished jobs are purged",
         ),
         Row(
             "storage replica",
