Give the epoch up when a gathered write is not proposed: tables had changed before it

Cause, found by reading: the job table changes with a write, before it is proposed; a lease that ended within the 3 ms in which writes are gathered left a position that was never written, or an end of a batch job that was acknowledged at its repeat without being stored. Change: the replica resigns, so that tables are loaded anew in the next epoch; the job table is not touched by a node that does not lead. Tests: a write whose lease ends before it is proposed; an item that two sidecars run is listed once.

--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -192,6 +192,11 @@
         self._advance()
         return update.position
 
+    def resign(self, now: float) -> None:
+        """Primary: give the epoch up, since what was made of its state may not be what is written."""
+        if self.role is Role.PRIMARY:
+            self._step_down(now)
+
     def transfer(self, now: float) -> bool:
         """Primary: hand over to the backup that has all; false where none has."""
         if self.role is not Role.PRIMARY or self._transfer_until is not None:
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -38,7 +38,6 @@
 ACCEPT_S = 0.6  # a storage node that has not taken the session by then does not lead
 CALL_S = 1.6  # a call that no primary has answered by then is uncertain
 NEVER_DONE = 422
-SERVER_ERROR = 500
 ITEM_TIME_S = 60.0  # an item's attempt on this sidecar takes no longer
 
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -296,6 +296,8 @@
         return Answer(message.call, 200, msgspec.json.encode(page))
 
     async def _end(self, message: EndJob) -> Answer:
+        if not self.group.leads():
+            raise NotPrimary
         made = self._jobs.end(message.job)
         if isinstance(made, Refusal):
             return self._refused(message.call, made)
@@ -315,6 +317,9 @@
         item = job.items.get(message.key.item) if job else None
         if worker is not None and item is not None and item.node == worker:
             self._scheduler.finished(self._now(), worker, message.key)
+        if not self.group.leads():
+            connection.send(Redirect(self.group.replica.primary or ""))  # the sidecar tells it again
+            return
         writes = self._jobs.finish(message.key, message.succeeded, message.text)
         if writes and job is not None:
             positions = job.positions
@@ -369,6 +374,8 @@
         """List the dead letters."""
         assert self._routes is not None
         for item in self._jobs.hopeless(time.time(), set(self._routes.by_name)):
+            if not self.group.leads():
+                return
             writes = self._jobs.finish(item.key, False, "")
             positions = item.job.positions
             if writes:
@@ -380,6 +387,8 @@
 
     async def _purge(self) -> None:
         """Forget one job that is long over."""
+        if not self.group.leads():
+            return
         writes = self._jobs.purge(time.time(), self._settings.status_ttl_s)
         if writes:
             try:
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -146,6 +146,8 @@
                 raise NotPrimary
             position = self.replica.propose(self.now(), writes)
         except NotPrimary:
+            # Danger: those who wait have changed their tables already. Tables are loaded anew in a new epoch.
+            self.replica.resign(self.now())
             self._fail(waiting, NotPrimary())
         except StoreFailed as error:
             log.error("write failed, stepping down: %s", error)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -6,12 +6,15 @@
 import random
 from typing import cast
 
+import pytest
+
 from eiderhub.control.messages import Hello, NodeRecord
+from eiderhub.coordination.messages import Write
 from eiderhub.coordination.replication import Replica, Role
 from eiderhub.coordination.timing import GroupSize
 from eiderhub.storage.store import MemoryStore
 from eiderhub.transport.framing import Connection, Message
-from eiderhub.transport.group import GroupDriver
+from eiderhub.transport.group import GroupDriver, NotPrimary
 
 
 class Silent:
@@ -24,6 +27,34 @@
         self.sent.append(message)
 
 
+def test_write_that_is_not_proposed_ends_the_epoch(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Found by reading: who waits for a write has changed its tables, and they would differ from the store.
+
+    The lease ends within the milliseconds in which writes are gathered. Had the epoch gone on, a batch job's
+    next result would have got a position behind one that was never written.
+    """
+
+    async def test() -> None:
+        own = "a@127.0.0.1:1"
+        replica = Replica(own, MemoryStore(), 0.0, random.Random(1), GroupSize(None, 1))
+        replica.bootstrap([own])
+        driver = GroupDriver(replica, record(own, "z0"), lambda: None)
+        replica.tick(driver.now() + 5.0)
+        replica.tick(driver.now() + 5.0)
+        assert replica.role is Role.PRIMARY
+        before = replica.position
+        waiting = asyncio.ensure_future(driver.write([Write("k", b"v")]))
+        await asyncio.sleep(0)
+        monkeypatch.setattr(replica, "leads", lambda now: False)
+        with pytest.raises(NotPrimary):
+            await waiting
+        assert replica.role.value == "backup"
+        assert replica.position == before
+        driver.stop()
+
+    asyncio.run(test())
+
+
 def record(identity: str, zone: str) -> NodeRecord:
     return NodeRecord(identity, "storage", zone, identity)
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -141,6 +141,21 @@
     assert item.errors == 1
 
 
+def test_item_that_two_sidecars_run_is_listed_once(primary: Primary) -> None:
+    """Its first sidecar was taken for lost, comes back, and ends it too, with another text."""
+    primary.submit("j", "i")
+    item = primary.table.jobs["j"].items["i"]
+    primary.table.start(WALL, item, "n1")
+    primary.table.lost_node("n1")
+    primary.table.start(WALL, item, "n2")
+    assert not primary.table.announced("n1", item.key)  # it is told to stop
+    assert primary.table.returned("n1", item.key, 1, Progress(3, ["late"])) is None
+    assert (item.node, item.progress, item.errors) == ("n2", None, 0)
+    primary.finish("j", "i", "second")
+    primary.finish("j", "i", "first")
+    assert [r.text for r in primary.page("j").results] == ["second"]
+
+
 def test_items_of_a_lost_node_wait_again(primary: Primary) -> None:
     primary.submit("j", "a", "b")
     for item in list(primary.table.open_jobs()[0].waiting()):
