--- a/tests/model/actors.py
+++ b/tests/model/actors.py
@@ -85,13 +85,12 @@
             author = f"{self.name} {self._number}"
             change = Change(self.believed, False, document(generation, author, self.believed))
             self._order = Order(self, self._number, change, generation)
-            self.history.sent(change, generation)
         self._send()
 
     def _send(self, redirected: Machine | None = None) -> None:
         order = self._order
         assert order is not None
-        self.history.sent_again(order.change, self.network.timeline.now)
+        self.history.sent(order.change, self.network.timeline.now)
         machine = redirected or self.rng.choice(self.machines)
         process = machine.process
         if process is not None:
--- a/tests/model/history.py
+++ b/tests/model/history.py
@@ -33,10 +33,8 @@
         self._shown: dict[int, bytes] = {}  # changes that somebody was shown as the state, by generation
         self.reads = 0
 
-    def sent(self, change: Change, generation: int) -> None:
-        """An order that an operator has thought of."""
-
-    def sent_again(self, change: Change, now: float) -> None:
+    def sent(self, change: Change, now: float) -> None:
+        """An order goes out, for the first time or again."""
         self._sent_at[change.digest] = now
 
     def acknowledged(self, change: Change, generation: int, now: float) -> None:
--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -17,7 +17,7 @@
 from eiderhub.control.desk import Answer, Desk, Outcome
 from eiderhub.control.messages import SessionPong
 from eiderhub.control.publication import Publication
-from eiderhub.coordination import catch_up, membership, witness
+from eiderhub.coordination import membership, witness
 from eiderhub.coordination.commits import CommitQueue
 from eiderhub.coordination.lease import Lease
 from eiderhub.coordination.replication import Replica, Role
@@ -67,7 +67,6 @@
 _on_replicated = Replica._on_replicated
 _take_chunk = Replica._take_chunk
 _begin = Desk._begin
-_leads = Replica.leads
 _age = Publication.age
 _next_state = retirement.next_state
 _decide = configuration.decide
@@ -163,13 +162,6 @@
     self.disk = self.world.make_disk()
 
 
-def _resume_anything(self: Any, resumed: Any) -> None:
-    _transfer_init(self, resumed)
-
-
-_transfer_init = catch_up.SnapshotTransfer.__init__
-
-
 def _empty_without_bar(order: Any, report: Any) -> bool:
     return bool(report.synced) and set(order.identities).isdisjoint(report.members)
 
