Show per item who holds it and for how long, on a metrics page and in one log line

Cause: neither logs nor figures could tell the five hypotheses apart. Change: each role tells its figures at /metrics; the storage primary names items that stay at one sidecar and results that are not committed, a sidecar those of its items that do not move and what they wait for. Measured: no decision changes; test_tier, test_jobs, test_answers pass.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -287,6 +287,19 @@
         """Whether it owes anybody an end."""
         return bool(self._calls)
 
+    def figures(self) -> list[tuple[str, int]]:
+        """Calls that are owed an end, and the instances of the decisions that still decide on some."""
+        told = {id(balancer) for balancer in self._balancers}
+        deciding = {id(call.balancer): call.balancer for call in self._calls.values()}
+        held = sum(balancer.queue.count for balancer in deciding.values() if balancer is not None)
+        forgotten = sum(id(call.balancer) not in told for call in self._calls.values())
+        return [
+            ("calls", len(self._calls)),
+            ("calls_held", held),
+            ("calls_of_forgotten_instances", forgotten),
+            ("endpoints", len(self._records)),
+        ]
+
     def activity(self, endpoint: str) -> EndpointActivity:
         return self._activities.setdefault(endpoint, EndpointActivity())
 
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -37,6 +38,7 @@
 RETRY_S = 0.1
 ACCEPT_S = 0.6  # a storage node that has not taken the session by then does not lead
 CALL_S = 1.6  # a call that no primary has answered by then is uncertain
+STUCK_S = 4.0  # an item that has not moved for so long is named among the figures
 NEVER_DONE = 422
 ITEM_TIME_S = 60.0  # an item's attempt on this sidecar takes no longer
 
@@ -55,6 +57,7 @@
         self.key = order.key
         self.texts: list[str] = list(order.progress.texts) if order.progress else []
         self._started = False
+        self.moved_at = runner.now()
         self.call: Call | None = None
         self.admission: Admission | None = None
         self.finished: ItemFinished | None = None  # until the primary has stored it
@@ -63,6 +66,7 @@
         """Nothing: texts are collected."""
 
     def event(self, event: Event) -> None:
+        self.moved_at = self._runner.now()
         if not self._started:
             self._started = True
             self._runner.started(self)
@@ -85,6 +89,15 @@
     def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
         self._runner.give_back(self, refused=kind is ErrorKind.NOT_READY)
 
+    @property
+    def doing(self) -> str:
+        """What it waits for, as on-call staff would say it."""
+        if self.finished is not None:
+            return "waits to be stored"
+        if self.call is None or self.call.current is None:
+            return "waits for an endpoint"
+        return f"at {self.call.current.endpoint}"
+
     def progress(self) -> Progress | None:
         if self.call is None or self.call.last_event == NO_EVENT:
             return None
@@ -114,8 +127,27 @@
         self.stopping = False
         self.task = asyncio.get_running_loop().create_task(self._run())
 
-    def _now(self) -> float:
-        return asyncio.get_running_loop().time()
+    @staticmethod
+    def now() -> float:
+        """Danger: the event loop's own clock stands still within a turn."""
+        return time.monotonic()
+
+    def metrics(self) -> list[str]:
+        """What this sidecar holds, one figure a line; items without a move for long are named."""
+        now = self.now()
+        finished = sum(item.finished is not None for item in self._items.values())
+        lines = [
+            f"session {self._accepted and self._connection is not None:d}",
+            f"items_held {len(self._items)}",
+            f"items_unstored {finished}",
+        ]
+        for item in self._items.values():
+            if now - item.moved_at >= STUCK_S:
+                lines.append(
+                    f'item_idle_s{{job="{item.key.job}",item="{item.key.item}",doing="{item.doing}"}} '
+                    f"{now - item.moved_at:.1f}"
+                )
+        return lines
 
     # --- the session ---
 
--- a/eiderhub/programs/control.py
+++ b/eiderhub/programs/control.py
@@ -17,6 +17,9 @@
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection
+from eiderhub.transport.metrics import serve_metrics
+
+METRICS_PORT_OFFSET = 1  # from the last free port
 
 log = logging.getLogger("control")
 
@@ -43,6 +46,7 @@
         service.group.replica.bootstrap(founding_identity(seed) for seed in seeds)
     loop = asyncio.get_running_loop()
     await loop.create_server(lambda: Connection(service), settings.ip, settings.first_port)
+    await serve_metrics(service.metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
     host, port = address.parse(settings.control)
     # Imported here: the replica takes part in its group meanwhile, and no call is due before it leads.
     from eiderhub.transport.operator_http import OperatorServer
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -277,5 +277,18 @@
             self.tables.apply(EndpointsUpdate(self._next_version(), listed))
             self._push()
 
+    def metrics(self) -> list[str]:
+        """The figures of this node, one a line."""
+        replica = self.group.replica
+        return [
+            f"leads {self._leads():d}",
+            f"epoch {replica.epoch}",
+            f"version {replica.position.version}",
+            f"committed {replica.committed}",
+            f"generation {self.tables.configuration.generation}",
+            f"endpoints {len(self.tables.endpoints.endpoints)}",
+            f"nodes {len(self.tables.nodes.nodes)}",
+        ]
+
     async def stop(self) -> None:
         await self._host.stop()
--- a/eiderhub/programs/edge.py
+++ b/eiderhub/programs/edge.py
@@ -12,6 +12,7 @@
 from eiderhub.programs import starting
 from eiderhub.programs.edge_service import EdgeService
 from eiderhub.programs.settings import TierSettings
+from eiderhub.transport.metrics import serve_metrics
 
 LEAST_DRAIN_S = 2.6  # the platform sends no new connections after two missed looks, a second apart
 END_MARGIN_S = 1.2  # before the platform kills what has not stopped
@@ -29,6 +30,7 @@
     await loop.create_server(lambda: FrontendConnection(service, clients), host, port, backlog=512)
     host, port = address.parse(settings.readiness)
     await loop.create_server(lambda: ReadinessConnection(service.ready, asking), host, port)
+    await serve_metrics(service.metrics, settings.ip, settings.last_port)
     log.info("starts")
     await stop.wait()
     log.info("drains")
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -212,6 +212,14 @@
     def _give(exchange: ClientExchange, answer: Answer) -> None:
         exchange.answer(answer.status, answer.body, JSON_HEADER)
 
+    def metrics(self) -> list[str]:
+        """The figures of this sidecar, one a line."""
+        lines = [f"ready {self.ready():d}", f"draining {self.draining:d}"]
+        lines += [f"generation {self.tables.configuration.generation}"]
+        for name, admission in self._admissions.items():
+            lines += [f'{figure}{{service="{name}"}} {value}' for figure, value in admission.figures()]
+        return lines + self._runner.metrics()
+
     # --- the end ---
 
     @property
--- a/eiderhub/programs/storage.py
+++ b/eiderhub/programs/storage.py
@@ -15,7 +15,9 @@
 from eiderhub.programs.storage_service import StorageService
 from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection
+from eiderhub.transport.metrics import serve_metrics
 
+METRICS_PORT_OFFSET = 2  # from the last free port; edge and control nodes of the same machine use the others
 PORT_OFFSET = 1  # from the first free port, which control nodes of the same machine use
 
 log = logging.getLogger("storage")
@@ -33,6 +35,7 @@
     log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
     service = StorageService(settings, store, node)
     await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
+    await serve_metrics(service.metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
     await stop.wait()
     log.info("stops")
     await service.stop()
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -26,6 +26,7 @@
     WorkerAccepted,
     WorkerOpen,
 )
+from eiderhub.batch.progress import ProgressWatch
 from eiderhub.batch.scheduler import Scheduler
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind, Refusal
@@ -46,6 +47,8 @@
 DISPATCH_S = 0.02
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 HOPELESS_S = 0.5  # how often dead letters are looked for
+PROGRESS_S = 1.0  # how often it is looked for items that do not move
+STUCK_LOG_S = 5.0  # how often they are logged
 
 log = logging.getLogger("storage")
 
@@ -63,6 +66,9 @@
         self.group = self._host.group
         self._jobs = JobTable(store)
         self._scheduler = Scheduler()
+        self._progress = ProgressWatch()
+        self._next_progress = 0.0
+        self._next_stuck_log = 0.0
         self._workers: dict[Connection, str] = {}
         self._connections: dict[str, Connection] = {}  # by worker
         self._readers: dict[str, list[asyncio.Future[None]]] = {}  # who waits for results, by job
@@ -351,6 +357,7 @@
             self.group.roster.informed = self._session.fresh()
             if self.group.leads():
                 self._dispatch()
+                self._watch_progress()
                 if self._now() >= self._next_hopeless and self._routes is not None and self._session.fresh():
                     self._next_hopeless = self._now() + HOPELESS_S
                     await self._bury()
@@ -370,6 +377,35 @@
                 self._scheduler.given(now, worker, item.key)
                 self._connections[worker.node].send(self._jobs.start(wall, item, worker.node))
 
+    def _watch_progress(self) -> None:
+        """Look for items that do not move, and tell on-call staff."""
+        now = self._now()
+        if now < self._next_progress:
+            return
+        self._next_progress = now + PROGRESS_S
+        self._progress.look(now, self._jobs)
+        summary = self._progress.summary(now)
+        if summary and now >= self._next_stuck_log:
+            self._next_stuck_log = now + STUCK_LOG_S
+            log.warning("%s", summary)
+
+    def metrics(self) -> list[str]:
+        """The figures of this node, one a line."""
+        replica = self.group.replica
+        lines = [
+            f"leads {self.group.leads():d}",
+            f"epoch {replica.epoch}",
+            f"version {replica.position.version}",
+            f"committed {replica.committed}",
+        ]
+        if not self.group.leads():
+            return lines
+        lines += [f"jobs {len(self._jobs.jobs)}", f"sessions {len(self._connections)}"]
+        for worker in self._scheduler.workers.values():
+            lines.append(f'window{{node="{worker.node}"}} {worker.window:.1f}')
+            lines.append(f'window_used{{node="{worker.node}"}} {worker.running}')
+        return lines + self._progress.lines(self._now())
+
     async def _bury(self) -> None:
         """List the dead letters."""
         assert self._routes is not None
--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -20,8 +20,8 @@
 # it waits for half the time after which we would count as told had we not asked, and part of that at random.
 WAIT_SHARE = 0.5
 WAIT_FROM = 0.8  # at least this part: the watches of a fleet that starts at once must not come back in step
-# Danger: after a silence, a call that waits as long as usual may fall into it again and not show it either. Until
-# one is answered they wait for no more than this, so that what they missed is told within 6 s of its end.
+# Danger: after a silence, a call that waits as long as usual may fall into it again and not show it. Until
+# one is answered they wait for no more than this: what they missed is told within 6 s of its end.
 SUSPECT_WAIT_MS = 2_500
 PATIENCE_S = 1.0  # an answer may be late by so much: what it had to tell counts as told a second later
 GAP_S = 0.75  # a list that has begun may stand still for so long
