--- /dev/null
+++ b/tests/items_support.py
@@ -0,0 +1,221 @@
+"""One real storage service and real item runners in one event loop, on sockets, with wires between them."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import uuid
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any, cast
+
+from eiderhub.batch.messages import Answer
+from eiderhub.control.errors import ErrorKind
+from eiderhub.control.messages import ConfigurationUpdate, NodeRecord
+from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.events import Event
+from eiderhub.dataplane.items import ItemRunner
+from eiderhub.dataplane.routes import Route, RouteTable
+from eiderhub.programs.settings import TierSettings
+from eiderhub.programs.storage_service import StorageService
+from eiderhub.storage.store import MemoryStore
+from eiderhub.transport.framing import Connection
+from tests.tier_support import document
+
+BOUND_S = 20.0  # for anything to come about, on however slow a machine
+POLL_S = 0.01
+ROUTE = "lots"
+
+
+async def until(found: Callable[[], Any], what: str, bound_s: float = BOUND_S) -> Any:
+    """The first true value of `found`, asked again and again."""
+    async with asyncio.timeout(bound_s) as limit:
+        while not (value := found()):
+            await asyncio.sleep(POLL_S)
+            if limit.expired():
+                raise AssertionError(what)
+        return value
+
+
+class Wire:
+    """What a sidecar takes for the storage node's address; `open` is clear while the node's bytes are held up."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: list[asyncio.StreamWriter] = []
+        self.open = asyncio.Event()
+        self.open.set()
+        self.sessions = 0
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.sessions += 1
+        up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self._port)
+        self._writers += [writer, up_writer]
+        for pumped in (self._pump(reader, up_writer, None), self._pump(up_reader, writer, self.open)):
+            task = asyncio.get_running_loop().create_task(pumped)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    @staticmethod
+    async def _pump(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, gate: asyncio.Event | None
+    ) -> None:
+        try:
+            while data := await reader.read(1 << 16):
+                if gate is not None:
+                    await gate.wait()
+                writer.write(data)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    def cut(self) -> None:
+        """Break all connections off."""
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    def close(self) -> None:
+        self._server.close()
+        self.cut()
+
+
+class HandAdmission:
+    """Admission whose calls end when the test says so."""
+
+    def __init__(self) -> None:
+        self.calls: dict[str, Call] = {}  # by item
+        self.begun: list[str] = []
+
+    @staticmethod
+    def now_us() -> int:
+        return 0
+
+    def order(self, call: Call) -> None:
+        item = call.request_id.decode()
+        self.calls[item] = call
+        self.begun.append(item)
+
+    def abandon(self, call: Call) -> None:
+        self.calls.pop(call.request_id.decode(), None)
+
+    def give_up(self, call: Call) -> None:
+        if self.calls.pop(call.request_id.decode(), None) is not None:
+            call.sink.refuse(ErrorKind.UNCERTAIN, 0)
+
+    def finish(self, item: str) -> None:
+        call = self.calls.pop(item)
+        call.sink.event(Event(b"", 0, f"text of {item}"))
+        call.sink.finish()
+
+    def refuse(self, item: str) -> None:
+        self.calls.pop(item).sink.refuse(ErrorKind.FAILED, 0)
+
+
+class Sidecar:
+    """A real item runner behind a wire of its own."""
+
+    def __init__(self, name: str, wire: Wire, route: Route) -> None:
+        self.wire = wire
+        self.admission = HandAdmission()
+        self._route = route
+        self.runner = ItemRunner(name, "z0", self, lambda: [wire.address])
+
+    def route_for(self, name: str) -> tuple[Route, Admission] | None:
+        return self._route, cast(Admission, self.admission)
+
+    async def submit(self, job: str, *items: str) -> int:
+        requests = [
+            {"id": i, "path": f"/{ROUTE}/{i}", "tokens": 1, "body": base64.b64encode(b"b").decode()}
+            for i in items
+        ]
+        answer = await self.runner.submit(job, ROUTE, json.dumps({"requests": requests}).encode())
+        return answer.status
+
+    async def results(self, job: str) -> list[str]:
+        answer: Answer = await self.runner.read(job, 0, 0)
+        return [r["id"] for r in json.loads(answer.body)["results"]] if answer.status == 200 else []
+
+
+class Storage:
+    """A storage service that leads a group of one."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = MemoryStore()
+        identity = f"{uuid.uuid4().hex[:8]}@127.0.0.1:1"
+        node = NodeRecord("storage-0", "storage", "z0", identity)
+        self.service = StorageService(_settings(folder), cast(Any, self.store), node)
+        self.service.group.replica.bootstrap([identity])
+        self.service.tables.apply(ConfigurationUpdate(1, json.dumps(document(1)).encode()))
+        self.service._on_tables()
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: Connection(self.service), "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        await until(self.service.group.leads, "the storage node leads")
+
+    def close(self) -> None:
+        self._server.close()
+        self.service.group.stop()
+
+
+def _settings(folder: Path) -> TierSettings:
+    return TierSettings(
+        node_name="storage-0", role="storage", ip="127.0.0.1", zone="z0", region="r", zones={}, frontend="",
+        readiness="", control="", first_port=1, last_port=2, seeds=[], bootstrap=True, data_dir=str(folder),
+        disk_mb=8.0, memory_mb=100.0, platform="", drain_ms=1000.0, grace_s=8.0, status_ttl_s=120.0,
+        fault_tolerance=0,
+    )  # fmt: skip
+
+
+class Bench:
+    """The parts of one test."""
+
+    def __init__(self, folder: Path) -> None:
+        self.storage = Storage(folder)
+        self._sidecars: list[Sidecar] = []
+
+    async def sidecar(self, name: str) -> Sidecar:
+        wire = Wire(self.storage.port)
+        await wire.start()
+        route = RouteTable(1, document(1)).by_name[ROUTE]
+        made = Sidecar(name, wire, route)
+        self._sidecars.append(made)
+        await until(made.runner._up.is_set, f"{name} has a session")
+        return made
+
+    def close(self) -> None:
+        for sidecar in self._sidecars:
+            sidecar.runner.task.cancel()
+            sidecar.wire.close()
+        self.storage.close()
+
+
+@asynccontextmanager
+async def bench(folder: Path) -> AsyncIterator[Bench]:
+    """A storage node that leads; sidecars are added by the test."""
+    made = Bench(folder)
+    await made.storage.start()
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+async def listed(sidecar: Sidecar, job: str, *items: str) -> None:
+    """Returns once these items, and no others, are listed."""
+    async with asyncio.timeout(BOUND_S):
+        while True:
+            found = await sidecar.results(job)
+            if sorted(found) == sorted(items):
+                return
+            await asyncio.sleep(POLL_S)
