--- a/eiderhub/programs/edge.py
+++ b/eiderhub/programs/edge.py
@@ -14,9 +14,7 @@
 from eiderhub.programs.settings import TierSettings
 from eiderhub.transport.metrics import serve_metrics
 
-LEAST_DRAIN_S = 2.6  # the platform sends no new connections after two missed looks, a second apart
-END_MARGIN_S = 1.2  # before the platform kills what has not stopped
-QUIET_S = 0.3  # a sidecar that drains ends once no request has come for so long
+DRAIN_LOOK_S = 0.05
 
 log = logging.getLogger("edge")
 
@@ -34,14 +32,9 @@
     log.info("starts")
     await stop.wait()
     log.info("drains")
-    began = loop.time()
-    service.drain()
-    while loop.time() - began < settings.grace_s - END_MARGIN_S:
-        await asyncio.sleep(0.05)
-        now = loop.time()
-        waited = now - began > min(LEAST_DRAIN_S, settings.grace_s / 2)
-        if waited and service.quiet and now - service.last_request > QUIET_S:
-            break
+    drain = service.drain(settings.grace_s)
+    while not drain.is_over(service.now(), service.quiet, service.last_request):
+        await asyncio.sleep(DRAIN_LOOK_S)
     log.info("ends")
 
 
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+import time
 import zlib
 from collections.abc import Coroutine
 from typing import Any
@@ -18,8 +19,9 @@
 from eiderhub.control.errors import STATUS, ErrorKind
 from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord
 from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.drain import Drain
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
-from eiderhub.dataplane.items import ItemRunner, token_usage
+from eiderhub.dataplane.items import CALL_S, ItemRunner, token_usage
 from eiderhub.dataplane.routes import Route, RouteTable
 from eiderhub.http1 import Exchange
 from eiderhub.programs.settings import TierSettings
@@ -28,7 +30,9 @@
 
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
-TIMEOUT_MARGIN_MS = 25  # an answer leaves so long before the time is up
+TIMEOUT_MARGIN_S = 0.025  # an answer leaves so long before the time is up
+MOST_BATCH_CALL_S = 2 * CALL_S + MOST_WAIT_MS / 1000  # until a call for a job has its answer
+STOPPING_US = 50_000  # a client that is refused since the sidecar stops may try another at once
 EXHAUSTED_US = 60_000_000  # a cap that has run out is not raised sooner, as a rule
 STARTING_US = 600_000  # a sidecar that has just started has a configuration by then, as a rule
 JSON_HEADER = (b"Content-Type", b"application/json")
@@ -46,7 +50,7 @@
         self._endpoints_version = self.tables.endpoints.version
         self._admissions: dict[str, Admission] = {}
         self._serial = itertools.count(1)
-        self.draining = False
+        self._drain: Drain | None = None  # once it has been told to stop
         self.open_requests = 0
         self.last_request = 0.0
         self._spending = Spending(self._ask_for_lease)
@@ -120,8 +124,21 @@
 
     # --- clients ---
 
+    @staticmethod
+    def now() -> float:
+        """Danger: the event loop's own clock stands still within a turn."""
+        return time.monotonic()
+
+    @property
+    def draining(self) -> bool:
+        return self._drain is not None
+
+    def _takes(self, most_s: float) -> bool:
+        """Whether there is time for a request that may take so long."""
+        return self._drain is None or self._drain.takes(self.now(), most_s)
+
     def serve(self, exchange: ClientExchange) -> None:
-        self.last_request = asyncio.get_running_loop().time()
+        self.last_request = self.now()
         if self._routes is None:
             exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
             return
@@ -130,10 +147,14 @@
         path = target.partition("?")[0]
         route = self._routes.find(host.partition(":")[0], path)
         of_batch = path.startswith((LOTS, ITEMS)) and exchange.method in (b"GET", b"DELETE")
-        if of_batch and (route is None or route.kind == "batch"):
+        if of_batch and not self._takes(MOST_BATCH_CALL_S):
+            exchange.refuse(ErrorKind.NOT_READY, STOPPING_US)
+        elif of_batch and (route is None or route.kind == "batch"):
             self._start(self._read_batch(exchange, target), exchange)
         elif route is None:
             exchange.answer(STATUS[ErrorKind.UNKNOWN])
+        elif not self._takes(MOST_BATCH_CALL_S if route.kind == "batch" else time_left_s(exchange, route)):
+            exchange.refuse(ErrorKind.NOT_READY, STOPPING_US)
         elif route.kind == "batch":
             self._start(self._submit(exchange, route), exchange)
         elif (tenant := self._spending.tenant_of(route.name)) is not None:
@@ -174,8 +195,7 @@
             found  # of the newest configuration: it may have changed while the call was paid for
         )
         headers = exchange.headers
-        left_ms = min(_number(headers.get(b"timeout-ms"), route.timeout_ms), route.timeout_ms)
-        due_us = admission.now_us() + int(max(1.0, left_ms - TIMEOUT_MARGIN_MS) * 1000)
+        due_us = admission.now_us() + int(max(0.001, time_left_s(exchange, route) - TIMEOUT_MARGIN_S) * 1e6)
         head = request_head(exchange.method, exchange.url, headers, exchange.body)
         request_id = headers.get(b"request-id", b"")
         usage = token_usage(headers.get(b"token-usage", b"").decode("latin-1"))
@@ -243,10 +263,18 @@
             and not any(a.busy for a in self._admissions.values())
         )
 
-    def drain(self) -> None:
-        self.draining = True
+    def drain(self, grace_s: float) -> Drain:
+        """Stop: take only what can be ended in time, and give items back."""
+        self._drain = Drain(self.now(), grace_s)
         self._spending.give_back()
         self._runner.return_all()
+        return self._drain
+
+
+def time_left_s(exchange: ClientExchange, route: Route) -> float:
+    """How long a request may take: the route's time-out, or what its client allows if that is less."""
+    told_ms = _number(exchange.headers.get(b"timeout-ms"), route.timeout_ms)
+    return min(told_ms, route.timeout_ms) / 1000
 
 
 def _number(text: bytes | None, default: float) -> float:
