--- a/tests/tier_support.py
+++ b/tests/tier_support.py
@@ -24,6 +24,7 @@
 SERVICE = "svc"
 HOST = "tier.example"
 EVENTS = 3
+MOST_PROGRAMS = 400
 
 
 def wait_until(found: Callable[[], Any], what: str, bound_s: float = BOUND_S) -> Any:
@@ -116,7 +117,7 @@
 class Platform(StandIn):
     """The platform's list of endpoints."""
 
-    def __init__(self, engines: list[Engine]) -> None:
+    def __init__(self, engines: list[Any]) -> None:
         platform = self
         self.draining: set[str] = set()
 
@@ -190,18 +191,23 @@
 
 
 class Tier:
-    """Three control nodes, `storage` storage nodes and two edges, in three zones."""
+    """Three control nodes, `storage` storage nodes and `edges` sidecars, in three zones.
 
-    def __init__(self, folder: Path, storage: int = 3) -> None:
+    `engines`: endpoints of the caller's own, which it also closes; two stand-ins where there are none.
+    """
+
+    def __init__(
+        self, folder: Path, storage: int = 3, edges: int = 2, engines: list[Any] | None = None
+    ) -> None:
         self.cuts: list[int] = []
-        self.engines = [Engine("i-1", self.cuts), Engine("i-2", self.cuts)]
-        self.platform = Platform(self.engines)
+        self.engines = [Engine("i-1", self.cuts), Engine("i-2", self.cuts)] if engines is None else []
+        self.platform = Platform(self.engines if engines is None else engines)
         self.folder = folder
         base = 127 << 24 | (os.getpid() % 199 + 2) << 16  # test processes side by side have addresses apart
-        addresses = iter(range(base + 1, base + 250))
+        addresses = iter(range(base + 1, base + 1 + MOST_PROGRAMS))
         ports = {"frontend": 18161, "readiness": 18167, "control": 18166}
         self.ports = ports
-        roles = ["control"] * 3 + ["storage"] * storage + ["edge"] * 2
+        roles = ["control"] * 3 + ["storage"] * storage + ["edge"] * edges
         ips = [socket.inet_ntoa(next(addresses).to_bytes(4, "big")) for _ in roles]
         seeds = ",".join(f"{ip}:{ports['control']}" for ip in ips[:3])
         self.programs: list[Program] = []
