--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -17,7 +17,7 @@
 def play(seed: int, shape: Shape, keep: str) -> str:
     """One soak; what became of it, in one line and those of what is broken."""
     folder = Path(keep, str(seed)) if keep else Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    folder.mkdir(parents=True, exist_ok=True)
+    folder.mkdir(parents=True, exist_ok=not keep)  # disks of an earlier run would be taken for this one's
 
     async def run() -> Soak:
         soak = Soak(seed, folder, shape)
