Test that a job's earlier call does not touch the one that is sent again in a new epoch

Cause: a call that was still being paid for when another epoch began took the new epoch's job out of the table, or its task out of the submissions.

--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from eiderhub.control.errors import ErrorKind, Refusal
 from tests.items_support import BOUND_S, Bench, Sidecar, bench, listed, until
 
 RETURN_S = 0.8  # a sidecar that has gone has so long to come back
@@ -136,3 +137,44 @@
             await listed(sidecar, "job", "a")
 
     asyncio.run(test())
+
+
+def test_job_of_an_earlier_epoch_does_not_touch_the_one_that_is_sent_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first call is still being paid for when another epoch begins, and its client asks again."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            service = made.storage.service
+            sidecar, other = await made.sidecar("edge-0"), await made.sidecar("edge-1")
+            gates = [asyncio.Event(), asyncio.Event()]
+            paying: list[int] = []
+
+            async def pay(message: object) -> Refusal | None:
+                paying.append(len(paying))
+                number = paying[-1]
+                await gates[number].wait()
+                return Refusal(ErrorKind.NO_ROOM, "the cap has run out") if number == 0 else None
+
+            monkeypatch.setattr(service, "_pay", pay)
+            first = asyncio.create_task(sidecar.submit("job", "a"))
+            await until(lambda: len(paying) == 1, "the first call is being paid for")
+            epoch = service.group.replica.epoch
+            service.group._resign()
+            await until(lambda: service.group.leads() and service._epoch > epoch, "another epoch")
+            await until(other.runner._up.is_set, "a session")
+            second = asyncio.create_task(other.submit("job", "a"))
+            await until(lambda: len(paying) == 2, "the second call is being paid for")
+            gates[0].set()
+            assert await first in (503, 504)
+            third = asyncio.create_task(other.submit("job", "a"))
+            await asyncio.sleep(0)
+            await until(lambda: service._jobs.jobs.get("job"), "the job stays in the table")
+            assert not third.done()
+            gates[1].set()
+            assert await second == 202
+            assert await third == 202
+            await until(lambda: "a" in sidecar.admission.calls | other.admission.calls, "its item runs")
+
+    asyncio.run(test())
