--- a/eiderhub/programs/control.py
+++ b/eiderhub/programs/control.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import random
-import sys
 import uuid
-from pathlib import Path
 
 import picologging as logging
 
@@ -14,8 +12,8 @@
 from eiderhub.control.messages import NodeRecord
 from eiderhub.programs import starting
 from eiderhub.programs.control_service import ControlService
+from eiderhub.programs.replica_host import open_store
 from eiderhub.programs.settings import TierSettings
-from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection
 from eiderhub.transport.metrics import serve_metrics
 
@@ -34,13 +32,8 @@
     seeds = [f"{address.parse(seed).host}:{settings.first_port}" for seed in settings.seeds]
     founder = settings.bootstrap and own in seeds
     identity = founding_identity(own) if founder else f"{uuid.uuid4().hex[:10]}@{own}"
-    try:
-        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
-    except StoreUnusable as error:
-        log.error("%s", error)
-        sys.exit(1)
+    store = open_store(settings, identity)
     node = NodeRecord(settings.node_name, "control", settings.zone, store.identity)
-    log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
     service = ControlService(settings, store, node)
     if founder:
         service.group.replica.bootstrap(founding_identity(seed) for seed in seeds)
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 import random
 import time
 import zlib
-from collections.abc import Coroutine
-from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
 import picologging as logging
@@ -27,6 +24,7 @@
 from eiderhub.programs.settings import TierSettings
 from eiderhub.transport.control_session import ControlSession, control_candidates
 from eiderhub.transport.spending import Charge, Spending
+from eiderhub.transport.tasks import TaskSet
 
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
@@ -58,7 +56,7 @@
             self._node, self.tables, self._control_nodes, self._on_tables, on_lease=self._spending.answered
         )
         self._runner = ItemRunner(settings.node_name, settings.zone, self, self._storage_nodes)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     # --- the control plane ---
 
@@ -150,31 +148,18 @@
         if of_batch and not self._takes(MOST_BATCH_CALL_S):
             exchange.refuse(ErrorKind.NOT_READY, STOPPING_US)
         elif of_batch and (route is None or route.kind == "batch"):
-            self._start(self._read_batch(exchange, target), exchange)
+            self._tasks.start(self._read_batch(exchange, target), exchange.break_off)
         elif route is None:
             exchange.answer(STATUS[ErrorKind.UNKNOWN])
         elif not self._takes(MOST_BATCH_CALL_S if route.kind == "batch" else time_left_s(exchange, route)):
             exchange.refuse(ErrorKind.NOT_READY, STOPPING_US)
         elif route.kind == "batch":
-            self._start(self._submit(exchange, route), exchange)
+            self._tasks.start(self._submit(exchange, route), exchange.break_off)
         elif (tenant := self._spending.tenant_of(route.name)) is not None:
-            self._start(self._pay_and_pass_on(exchange, route, tenant), exchange)
+            self._tasks.start(self._pay_and_pass_on(exchange, route, tenant), exchange.break_off)
         else:
             self._pass_on(exchange, route)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None], exchange: ClientExchange) -> None:
-        """Serve a request in a task of its own; a fault of ours ends its connection."""
-
-        def ended(task: asyncio.Task[None]) -> None:
-            self._tasks.discard(task)
-            if not task.cancelled() and (error := task.exception()) is not None:
-                log.error("a request could not be served: %r", error)
-                exchange.break_off()
-
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(ended)
-
     async def _pay_and_pass_on(self, exchange: ClientExchange, route: Route, tenant: str) -> None:
         """Take a request of a tenant that has a spending cap."""
         tokens = sum(token_usage(exchange.headers.get(b"token-usage", b"").decode("latin-1")))
@@ -258,7 +243,7 @@
     def quiet(self) -> bool:
         """Whether nothing is owed to anybody."""
         return (
-            not self._tasks
+            len(self._tasks) == 0
             and self._runner.unstored == 0
             and not any(a.busy for a in self._admissions.values())
         )
--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -4,19 +4,38 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import Callable
+from pathlib import Path
+
+import picologging as logging
 
 from eiderhub.control.messages import Hello, NodeRecord
 from eiderhub.coordination.messages import REPLICA_MESSAGES
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.timing import GroupSize
-from eiderhub.storage.store import LmdbStore
+from eiderhub.programs.settings import TierSettings
+from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import GroupDriver
 
 TRANSFER_WAIT_S = 0.4  # a planned transfer is over by then
 
 
+log = logging.getLogger("replica")
+
+
+def open_store(settings: TierSettings, identity: str) -> LmdbStore:
+    """The replica's store, made with this identity if there is none; ends the program where it can't be used."""
+    try:
+        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
+    except StoreUnusable as error:
+        log.error("%s", error)
+        sys.exit(1)
+    log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
+    return store
+
+
 class ReplicaHost:
     """One replica with its driver, and the connections of the other replicas."""
 
--- a/eiderhub/programs/storage.py
+++ b/eiderhub/programs/storage.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import uuid
-from pathlib import Path
 
 import picologging as logging
 
 from eiderhub.control.messages import NodeRecord
 from eiderhub.programs import starting
+from eiderhub.programs.replica_host import open_store
 from eiderhub.programs.settings import TierSettings
 from eiderhub.programs.storage_service import StorageService
-from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.framing import Connection
 from eiderhub.transport.metrics import serve_metrics
 
@@ -26,13 +24,8 @@
 async def serve(settings: TierSettings, stop: asyncio.Event, reload: asyncio.Event) -> None:
     port = settings.first_port + PORT_OFFSET
     identity = f"{uuid.uuid4().hex[:10]}@{settings.ip}:{port}"
-    try:
-        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
-    except StoreUnusable as error:
-        log.error("%s", error)
-        sys.exit(1)
+    store = open_store(settings, identity)
     node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity)
-    log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
     service = StorageService(settings, store, node)
     await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
     await serve_metrics(service.metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -5,8 +5,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Coroutine
-from typing import Any
 
 import msgspec
 import picologging as logging
@@ -15,35 +13,30 @@
 from eiderhub.batch.dispatch import Dispatcher, Session
 from eiderhub.batch.jobs import BatchTerms, Item, JobTable
 from eiderhub.batch.messages import (
-    Answer,
-    EndJob,
     ItemFinished,
     ItemReturned,
     ItemStarted,
-    ReadBody,
-    ReadResults,
     Redirect,
-    Submit,
     WorkerOpen,
     WorkerReport,
 )
 from eiderhub.batch.progress import ProgressWatch
 from eiderhub.control.distribution import Tables
-from eiderhub.control.errors import STATUS, ErrorKind, Refusal
 from eiderhub.control.messages import LeaseRequest, NodeRecord, SessionPing, StorageReport
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.store import NOWHERE
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.dataplane.routes import RouteTable
+from eiderhub.programs.batch_calls import BatchCall, BatchCalls
 from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession, control_candidates
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import CommitUnknown, NotPrimary
-from eiderhub.transport.spending import Charge, Spending
+from eiderhub.transport.spending import Spending
+from eiderhub.transport.tasks import TaskSet
 
-CALLS = (Submit, ReadResults, ReadBody, EndJob)
 DISPATCH_S = 0.02
 FAULT_PAUSE_S = 1.0  # after a fault of the program itself, before the dispatcher goes on
 HOPELESS_S = 0.5  # how often dead letters are looked for
@@ -71,15 +64,16 @@
         self._next_stuck_log = 0.0
         self._sessions: dict[Connection, Session] = {}
         self._connections: dict[Session, Connection] = {}
-        self._readers: dict[str, list[asyncio.Future[None]]] = {}  # who waits for results, by job
-        self._submitting: dict[str, asyncio.Task[Answer]] = {}
         self._epoch = 0
         self._next_hopeless = 0.0
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
             node, self.tables, self._candidates, self._on_tables, self._describe, self._spending.answered
         )
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._calls = BatchCalls(
+            self._jobs, self.group, self._spending, self._terms, self._give_out, self._job_ended
+        )
+        self._tasks = TaskSet()
         self._dispatcher = asyncio.get_running_loop().create_task(self._dispatch_forever())
 
     def _now(self) -> float:
@@ -138,8 +132,8 @@
             connection.send(Redirect(self.group.replica.primary or ""))
         elif isinstance(message, WorkerOpen):
             self._open(connection, message)
-        elif isinstance(message, CALLS):
-            self._start(self._answer(connection, message), connection)
+        elif isinstance(message, BatchCall):
+            self._tasks.start(self._answer(connection, message), connection.close)
         else:
             self._on_worker(connection, message)
 
@@ -161,7 +155,7 @@
             self._dispatch.scheduler.started(message.key)
             self._give_out()
         elif isinstance(message, ItemFinished):
-            self._start(self._finish(session, message), connection)
+            self._tasks.start(self._finish(session, message), connection.close)
         elif isinstance(message, ItemReturned):
             self._dispatch.returned(self._now(), session, message)
 
@@ -172,19 +166,6 @@
             self._connections.pop(session, None)
             self._dispatch.closed(self._now(), session)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None], connection: Connection) -> None:
-        """Do what a connection's message asks for; a fault ends the connection, and it is asked again."""
-
-        def ended(task: asyncio.Task[None]) -> None:
-            self._tasks.discard(task)
-            if not task.cancelled() and (error := task.exception()) is not None:
-                log.error("a message could not be carried out: %r", error)
-                connection.close()
-
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(ended)
-
     def _flush(self) -> None:
         """Send what the dispatcher wants sent, and log what it has put right."""
         outbox, self._dispatch.outbox = self._dispatch.outbox, []
@@ -203,7 +184,7 @@
         if replica.epoch != self._epoch and self.group.leads():
             self._epoch = replica.epoch
             self._dispatch.begin(self._now(), replica.epoch)
-            self._submitting.clear()
+            self._calls.begin(replica.epoch)
             log.info("leads epoch %d with %d jobs", replica.epoch, len(self._jobs.jobs))
         if not self.group.leads() and self._connections and replica.primary != self._node.identity:
             for connection in list(self._connections.values()):
@@ -212,32 +193,8 @@
 
     # --- calls ---
 
-    async def _answer(
-        self, connection: Connection, message: Submit | ReadResults | ReadBody | EndJob
-    ) -> None:
-        try:
-            if isinstance(message, Submit):
-                answer = await self._submit(message)
-            elif isinstance(message, ReadResults):
-                answer = await self._read(message)
-            elif isinstance(message, EndJob):
-                answer = await self._end(message)
-            else:
-                body = self._jobs.body(message.job, message.item)
-                answer = (
-                    self._refused(message.call, body)
-                    if isinstance(body, Refusal)
-                    else Answer(message.call, 200, body)
-                )
-        except NotPrimary:
-            answer = Answer(message.call, STATUS[ErrorKind.NOT_READY])
-        except CommitUnknown:
-            answer = Answer(message.call, STATUS[ErrorKind.UNCERTAIN])
-        connection.send(answer)
-
-    @staticmethod
-    def _refused(call: int, refusal: Refusal) -> Answer:
-        return Answer(call, refusal.status, refusal.why.encode())
+    async def _answer(self, connection: Connection, message: BatchCall) -> None:
+        connection.send(await self._calls.answer(message))
 
     def _terms(self, name: str) -> BatchTerms | None:
         route = self._routes.by_name.get(name) if self._routes else None
@@ -247,86 +204,9 @@
             name, route.window_ms / 1000, route.retention_s, route.max_attempts, route.max_queued_tokens
         )
 
-    async def _submit(self, message: Submit) -> Answer:
-        task = self._submitting.get(message.job)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(self._submit_once(message))
-            self._submitting[message.job] = task
-            task.add_done_callback(lambda task: self._submitted(message.job, task))
-        answer = await asyncio.shield(task)
-        return Answer(message.call, answer.status, answer.body)
-
-    def _submitted(self, job: str, task: asyncio.Task[Answer]) -> None:
-        if self._submitting.get(job) is task:  # not that of a later epoch
-            del self._submitting[job]
-
-    async def _submit_once(self, message: Submit) -> Answer:
-        terms, epoch = self._terms(message.route), self._epoch
-        if terms is None:
-            return Answer(message.call, STATUS[ErrorKind.NOT_READY])
-        made = self._jobs.submit(time.time(), message.job, terms, message.body)
-        if isinstance(made, Refusal):
-            return self._refused(message.call, made)
-        if not made:
-            return await self._taken_before(message)
-        refused = await self._pay(message)
-        if self._epoch != epoch:
-            raise NotPrimary  # the table has been loaded anew: the job is not there, or another call's
-        if refused is not None:
-            self._jobs.forget(message.job)
-            return self._refused(message.call, refused)
-        try:
-            await self.group.write(made)
-        except NotPrimary:
-            if self._epoch == epoch:
-                self._jobs.forget(message.job)
-            raise
-        self._jobs.accepted(message.job)
-        self._give_out()
-        return Answer(message.call, 202)
-
-    async def _taken_before(self, message: Submit) -> Answer:
-        if not self._jobs.is_committed(message.job):
-            raise NotPrimary
-        await self.group.settle()
-        return Answer(message.call, 202)
-
-    async def _pay(self, message: Submit) -> Refusal | None:
-        """Charge a new job to its tenant; what is paid for runs, whatever becomes of the cap."""
-        tenant = self._spending.tenant_of(message.route)
-        if tenant is None:
-            return None
-        charge = await self._spending.charge(tenant, self._jobs.tokens(message.job))
-        if charge is Charge.PAID:
-            return None
-        kind = ErrorKind.NO_ROOM if charge is Charge.EXHAUSTED else ErrorKind.NOT_READY
-        return Refusal(kind, f"spending cap: {charge.value}")
-
-    async def _read(self, message: ReadResults) -> Answer:
-        until = self._now() + message.wait_ms / 1000
-        while True:
-            page = self._jobs.page(message.job, message.start)
-            if isinstance(page, Refusal):
-                return self._refused(message.call, page)
-            left = until - self._now()
-            if page.results or left <= 0:
-                break
-            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._readers.setdefault(message.job, []).append(future)
-            await asyncio.wait([future], timeout=left)
-        if not self.group.leads():
-            raise NotPrimary
-        return Answer(message.call, 200, msgspec.json.encode(page))
-
-    async def _end(self, message: EndJob) -> Answer:
-        if not self.group.leads():
-            raise NotPrimary
-        if message.job not in self._jobs.jobs:
-            return self._refused(message.call, Refusal(ErrorKind.UNKNOWN, "no such job"))
-        await self.group.commit(lambda: self._jobs.end(message.job))
-        self._dispatch.cancel_job(message.job)
+    def _job_ended(self, job: str) -> None:
+        self._dispatch.cancel_job(job)
         self._flush()
-        return Answer(message.call, 200)
 
     # --- items ---
 
@@ -336,15 +216,10 @@
         except (NotPrimary, CommitUnknown):
             return  # the sidecar tells it again, here or to the next primary
         if self._dispatch.stored(session, message.key):
-            self._tell_readers(message.key.job)
+            self._calls.tell_readers(message.key.job)
         self._flush()
         self._give_out()
 
-    def _tell_readers(self, job: str) -> None:
-        for future in self._readers.pop(job, []):
-            if not future.done():
-                future.set_result(None)
-
     async def _dispatch_forever(self) -> None:
         while True:
             await asyncio.sleep(DISPATCH_S)
@@ -415,7 +290,7 @@
     async def _bury_one(self, item: Item) -> None:
         await self.group.commit(lambda: self._jobs.finish(item.key, False, ""))
         if self._jobs.listed(item.key):
-            self._tell_readers(item.key.job)
+            self._calls.tell_readers(item.key.job)
 
     async def _purge(self) -> None:
         """Forget one job that is long over."""
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -157,7 +157,7 @@
                 await gates[number].wait()
                 return Refusal(ErrorKind.NO_ROOM, "the cap has run out") if number == 0 else None
 
-            monkeypatch.setattr(service, "_pay", pay)
+            monkeypatch.setattr(service._calls, "_pay", pay)
             first = asyncio.create_task(sidecar.submit("job", "a"))
             await until(lambda: len(paying) == 1, "the first call is being paid for")
             epoch = service.group.replica.epoch
