--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -26,7 +26,7 @@
 
 
 def open_store(settings: TierSettings, identity: str) -> LmdbStore:
-    """The replica's store, made with this identity if there is none; ends the program where it can't be used."""
+    """The replica's store, made with this identity if there is none; the program ends if it is unusable."""
     try:
         store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
     except StoreUnusable as error:
