Give the list service's client one answer for one request

Change: what comes behind a whole answer ends the connection, unparsed; a connection is idle once what came with its answer has been read.

--- a/eiderhub/http1.py
+++ b/eiderhub/http1.py
@@ -251,6 +251,8 @@
         self._headers: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._size = 0
+        self._reply: Reply | None = None  # whole, until what came with it has been read
+        self._keep = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -259,7 +261,6 @@
     def ask(self, data: bytes, asker: Asker) -> None:
         self._asker = asker
         self._count += 1
-        self._headers, self._body, self._size = {}, [], 0
         self.transport.write(data)
         asker.on_written()
 
@@ -270,10 +271,28 @@
         self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._asker is None:  # nobody has asked for it
+            self.close()
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.transport.abort()
+            if self._reply is None:
+                self.transport.abort()
+                return
+            self._keep = False  # bytes behind a whole answer belong to no request
+        if self._reply is not None:
+            self._complete(self._reply)
+
+    def _complete(self, reply: Reply) -> None:
+        asker, self._asker, self._reply = self._asker, None, None
+        if self._keep:
+            self._pool.idle.append(self)
+        else:
+            self._pool.forget(self)
+            self.transport.close()
+        if asker is not None:
+            asker.on_reply(reply)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.forget(self)
@@ -283,6 +302,11 @@
 
     # --- the parser's calls ---
 
+    def on_message_begin(self) -> None:
+        if self._reply is not None:
+            raise ValueError("bytes after a whole answer")
+        self._headers, self._body, self._size = {}, [], 0
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.lower()] = value
 
@@ -294,17 +318,9 @@
 
     def on_message_complete(self) -> None:
         reply = Reply(self._parser.get_status_code(), self._headers, b"".join(self._body))
-        if reply.status < 200:
-            self._headers, self._body = {}, []
-            return
-        asker, self._asker = self._asker, None
-        if self._parser.should_keep_alive():
-            self._pool.idle.append(self)
-        else:
-            self._pool.forget(self)
-            self.transport.close()
-        if asker is not None:
-            asker.on_reply(reply)
+        if reply.status >= 200:  # others are interim: the final one follows
+            self._reply = reply
+            self._keep = self._parser.should_keep_alive()
 
 
 class Ticket:
--- a/eiderhub/programs/batch_calls.py
+++ b/eiderhub/programs/batch_calls.py
@@ -20,8 +20,8 @@
 class BatchCalls:
     """Of one storage node.
 
-    `terms` gives those of a batch route by its name. `accepted` is called once a job is committed, `ended` once
-    a job's end is.
+    `terms` gives those of a batch route by its name. `accepted` is called once a job is committed, `ended`
+    once a job's end is.
     """
 
     def __init__(
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from eiderhub.control.errors import ErrorKind
+from eiderhub.http1 import Pool, Reply
 from tests.engine_support import Bench, Request, Script, ScriptedEndpoint, answer_whole, route_of
 
 UNSAFE = route_of("non_idempotent")
@@ -289,3 +290,72 @@
         bench.stop()
 
     play(test)
+
+
+class Asked:
+    """Implements `http1.Asker`: notes the one end of an exchange."""
+
+    def __init__(self) -> None:
+        self.replies: list[Reply] = []
+        self.ended = asyncio.Event()
+
+    def on_written(self) -> None:
+        """Nothing."""
+
+    def on_reply(self, reply: Reply) -> None:
+        self.replies.append(reply)
+        self.ended.set()
+
+    def on_broken(self, first: bool) -> None:
+        self.ended.set()
+
+    def on_unreachable(self) -> None:
+        self.ended.set()
+
+
+async def asked(pool: Pool, name: str) -> Asked:
+    made = Asked()
+    pool.ask(f"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: {name}\r\n\r\n".encode(), made)
+    await made.ended.wait()
+    return made
+
+
+@pytest.mark.parametrize("cut", [0, 1, 20, 60, 10_000])
+def test_second_answer_reaches_no_other_caller_of_the_list_services_client(cut: int) -> None:
+    """The same shape as `garble` with `how = extra`, in `http1.ClientConnection`: found by reading."""
+
+    async def twice(request: Request) -> None:
+        extra = request.answer(b"second", Response_Signature="other", Request_Id="another")
+        request.send(request.answer(b"first") + extra[: cut or len(extra)])
+
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", twice)
+        await endpoint.start()
+        host, port = endpoint.address.split(":")
+        pool = Pool(host, int(port))
+        for number in range(4):
+            made = await asked(pool, f"q{number}")
+            assert [reply.body for reply in made.replies] == [b"first"]
+            assert made.replies[0].headers[b"response-signature"] == f"e1.q{number}".encode()
+            assert made.replies[0].headers[b"request-id"] == f"q{number}".encode()
+            assert len(pool.idle) == len(set(pool.idle))
+        pool.close()
+        endpoint.stop()
+
+    play(test)
+
+
+def test_connection_whose_answers_are_whole_is_used_again_by_the_list_services_client() -> None:
+    async def test() -> None:
+        endpoint = ScriptedEndpoint("e1", answer_whole)
+        await endpoint.start()
+        host, port = endpoint.address.split(":")
+        pool = Pool(host, int(port))
+        for number in range(4):
+            made = await asked(pool, f"q{number}")
+            assert [reply.status for reply in made.replies] == [200]
+        assert endpoint.connections == 1
+        pool.close()
+        endpoint.stop()
+
+    play(test)
