--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -128,7 +128,7 @@
 RETRY_SHARE, RETRY_BURST = 0.1, 5.0  # retries and second copies for each first attempt, and so many more
 MAX_TRIES, MAX_TRIES_INSIDE = 3, 2  # attempts: layers that retry each other multiply
 RETRY_AFTER_SHARE = 0.5  # a refused client is told to wait this share of what it obeys, or up to twice it
-ASK_BACKOFF_US, ASK_GROWTH, ASK_MAX_US = 500_000, 1.4, 4_000_000  # wait before subscribing again, up to
+ASK_BACKOFF_US, ASK_MAX_US = 500_000, 8_000_000  # wait before subscribing again, doubled up to
 SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
 SAME_START_US = 1_000_000  # processes that convert a stated start to their own clocks differ by less
 
@@ -625,7 +625,7 @@
             if self.settings.discovery is Discovery.ASK and not self.asking:
                 self.asking = True  # not in step with all copies, which it has turned away, too
                 self.actions.timer(int(self.ask_wait * (0.5 + self.random.random())), ASK)
-                self.ask_wait = min(int(ASK_GROWTH * self.ask_wait), self.ask_most)
+                self.ask_wait = min(2 * self.ask_wait, self.ask_most)
             return
         if form is not ListForm.CACHED:
             self.ask_wait = ASK_BACKOFF_US
