Answer whoever waits as a sidecar ends; give back items whose start failed; reset what the scheduler remembers

Cause: found in a last reading: a call that waits at the process's end got no answer; an item whose start raised would be reported as held for good; a new epoch kept the scheduler's memory of items given out before. Change: as the title says, with a test for the first.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -82,6 +82,7 @@
     def begin(self, now: float, epoch: int) -> None:
         """Lead a new epoch: the table is what the store holds, and sidecars say what they hold."""
         self.table.load()
+        self.scheduler.reset()
         self._epoch = epoch
         self._gone.clear()
         self._give_from = now + RETURN_S
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -56,6 +56,11 @@
         share = self._places / 2 / max(1, len(self.workers) + 1)
         return min(MOST_WINDOW, max(START_WINDOW, share))
 
+    def reset(self) -> None:
+        """Nothing is given out: another table has taken the place of the one before."""
+        self._starting.clear()
+        self._given.clear()
+
     def join(self, node: str, zone: str) -> None:
         self.workers[node] = Worker(node, zone, self._first_window())
 
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -423,6 +423,11 @@
         else:
             call.sink.refuse(ErrorKind.UNCERTAIN if may_have_run else ErrorKind.NOT_READY, 0)
 
+    def end_all(self) -> None:
+        """The process ends: whoever waits is told so, rather than find the connection closed."""
+        for call in list(self._calls.values()):
+            self.time_out(call)
+
     def _drop_attempt(self, call: Call, outcome: Outcome) -> None:
         """Nobody waits for the attempt that is under way any more."""
         attempt, call.current = call.current, None
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -164,9 +164,7 @@
         while True:
             try:
                 await self._find_primary()
-            except (
-                Exception
-            ) as error:  # Danger: without this task the sidecar would never have a session again
+            except Exception as error:  # Danger: without this task there would never be a session again
                 log.error("the session with the storage group failed: %r", error)
                 await asyncio.sleep(RETRY_S)
 
@@ -262,9 +260,10 @@
             else:
                 self._send(self._ledger.tick(now))
         for item in list(self._items.values()):
-            if now - item.moved_at >= ITEM_SILENCE_S and item.call is not None and item.admission is not None:
+            if now - item.moved_at >= ITEM_SILENCE_S:
                 log.info("%s %s has not moved, %s; given back", item.key.job, item.key.item, item.doing)
-                item.admission.time_out(item.call)
+                if item.call is not None and item.admission is not None:
+                    item.admission.time_out(item.call)
                 self.give_back(item, refused=False)
 
     # --- items ---
--- a/eiderhub/programs/edge.py
+++ b/eiderhub/programs/edge.py
@@ -35,6 +35,7 @@
     drain = service.drain(settings.grace_s)
     while not drain.is_over(service.now(), service.quiet, service.last_request):
         await asyncio.sleep(DRAIN_LOOK_S)
+    service.end()
     log.info("ends")
 
 
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -248,6 +248,11 @@
             and not any(a.busy for a in self._admissions.values())
         )
 
+    def end(self) -> None:
+        """The process ends now: answer what is still owed."""
+        for admission in self._admissions.values():
+            admission.end_all()
+
     def drain(self, grace_s: float) -> Drain:
         """Stop: take only what can be ended in time, and give items back."""
         self._drain = Drain(self.now(), grace_s)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -359,3 +359,20 @@
         endpoint.stop()
 
     play(test)
+
+
+def test_whoever_waits_at_the_end_of_the_process_is_answered() -> None:
+    async def silent(request: Request) -> None:
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        bench = Bench(ScriptedEndpoint("e1", silent))
+        await bench.start(UNSAFE)
+        sink = bench.send("q1")
+        await bench.endpoints[0].arrived.wait()
+        bench.admission.end_all()
+        assert (sink.refusal, sink.ends) == (ErrorKind.UNCERTAIN, 1)
+        assert not bench.admission.busy
+        bench.stop()
+
+    play(test)
