--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -75,10 +75,6 @@
         self._epoch = 0
         self._give_from = 0.0
 
-    @property
-    def sessions(self) -> list[Session]:
-        return list(self._sessions.values())
-
     def begin(self, now: float, epoch: int) -> None:
         """Lead a new epoch: the table is what the store holds, and sidecars say what they hold."""
         self.table.load()
