--- a/eiderhub/batch/progress.py
+++ b/eiderhub/batch/progress.py
@@ -39,11 +39,12 @@
         self._running: dict[ItemKey, RunningAt] = {}
         self._uncommitted: dict[str, Uncommitted] = {}
         self.waiting = 0
+        self.out_of_attempts = 0  # of those that wait: they are to be listed as dead letters
 
     def look(self, now: float, table: JobTable) -> None:
         running: dict[ItemKey, RunningAt] = {}
         uncommitted: dict[str, Uncommitted] = {}
-        waiting = 0
+        waiting = out_of_attempts = 0
         for job in table.jobs.values():
             if job.positions > job.visible:
                 before = self._uncommitted.get(job.record.id)
@@ -54,12 +55,14 @@
             for item in job.items.values():
                 if item.state is ItemState.WAITING:
                     waiting += 1
+                    out_of_attempts += item.errors >= job.record.max_attempts
                 elif item.state is ItemState.RUNNING:
                     known = self._running.get(item.key)
                     if known is None or known.node != item.node:
                         known = RunningAt(item.key, item.node, now)
                     running[item.key] = known
         self._running, self._uncommitted, self.waiting = running, uncommitted, waiting
+        self.out_of_attempts = out_of_attempts
 
     def stuck(self, now: float) -> list[RunningAt]:
         """Items that have been at one sidecar for too long, the oldest first."""
@@ -90,7 +93,8 @@
     def lines(self, now: float) -> list[str]:
         """The same as figures, one a line."""
         nodes = Counter(item.node for item in self._running.values())
-        lines = [f"items_waiting {self.waiting}", f"items_running {len(self._running)}"]
+        lines = [f"items_waiting {self.waiting}", f"items_out_of_attempts {self.out_of_attempts}"]
+        lines += [f"items_running {len(self._running)}"]
         lines += [f'items_running_at{{node="{node}"}} {count}' for node, count in sorted(nodes.items())]
         lines += [
             f'item_held_s{{job="{item.key.job}",item="{item.key.item}",node="{item.node}"}} '
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -276,6 +276,7 @@
         self._balancer: Balancer | None = None  # that decides on new calls
         self._balancers: list[Balancer] = []  # that one, and earlier ones for as long as they have calls
         self.refused = 0
+        self._timers_early = 0  # timers that came before their time
 
     def now_us(self) -> int:
         return time.monotonic_ns() // 1000  # the loop's own clock stands still while a callback runs
@@ -292,8 +293,14 @@
             ("calls_held", sum(balancer.queue.count for balancer in self._balancers)),
             ("instances", len(self._balancers)),
             ("endpoints", len(self._records)),
+            ("timers_early", self._timers_early),
+            ("sweep_overdue_ms", self._sweep_overdue_us(self.now_us()) // 1000),
         ]
 
+    def _sweep_overdue_us(self, now: int) -> int:
+        """For how long the look at held calls that is due longest has been due; 0: none is."""
+        return max((now - b.sweep_at for b in self._balancers if b.sweep_at >= 0), default=0)
+
     def activity(self, endpoint: str) -> EndpointActivity:
         return self._activities.setdefault(endpoint, EndpointActivity())
 
@@ -526,9 +533,10 @@
             self._give_up(made)
 
     def timer(self, delay_us: int, mark: str) -> None:
-        self._loop.call_later(delay_us / 1e6, self._wake, mark)
+        self._loop.call_later(delay_us / 1e6, self._wake, mark, self.now_us() + delay_us)
 
-    def _wake(self, mark: str) -> None:
+    def _wake(self, mark: str, due_us: int) -> None:
+        self._timers_early += self.now_us() < due_us
         for balancer in self._deciding():
             balancer.wake(self.now_us(), mark)
 
@@ -543,4 +551,6 @@
     def write_log(self, text: str, **fields: str | int | float) -> None:
         """What bears on calls' fates, every few seconds."""
         if text == "state":
+            fields |= {"timers_early": self._timers_early}
+            fields |= {"sweep_overdue_ms": self._sweep_overdue_us(self.now_us()) // 1000}
             log.info("%s: %s", self._service, ", ".join(f"{k} {v}" for k, v in fields.items()))
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -269,6 +269,8 @@
             f"epoch {replica.epoch}",
             f"version {replica.position.version}",
             f"committed {replica.committed}",
+            f"store_used_bytes {self._store.used_bytes}",
+            f"store_limit_bytes {self._store.limit_bytes}",
         ]
         if not self.group.leads():
             return lines
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -105,6 +105,16 @@
             staged = transaction.get(STAGED_KEY, db=self._meta)
             self._staged = msgspec.json.decode(staged, type=Staged) if staged else None
 
+    @property
+    def limit_bytes(self) -> int:
+        """What the store may grow to."""
+        return self._map_bytes
+
+    @property
+    def used_bytes(self) -> int:
+        """How far its file has grown, pages that are free again included."""
+        return int((self._environment.info()["last_pgno"] + 1) * self._environment.stat()["psize"])
+
     @property
     def _data(self) -> lmdb._Database:
         """The table that holds the state."""
