--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import random
+from typing import Any
 
 import pytest
 
+from eiderhub.control.errors import ErrorKind
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route, RouteTable
@@ -14,6 +16,7 @@
 
 CHANGES = 6
 ITEM_TIME_US = 60_000_000
+EARLY_S = 0.005
 
 
 def batch_route(timeout_ms: int) -> Route:
@@ -85,3 +88,31 @@
         assert len(made._balancer.classes) == 1
 
     asyncio.run(test())
+
+
+@pytest.fixture
+def timers_come_early(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A loop that counts whole milliseconds may call back up to one too early; here it is a few."""
+    call_later = asyncio.BaseEventLoop.call_later
+
+    def early(loop: asyncio.BaseEventLoop, delay: float, *words: Any, **fields: Any) -> asyncio.TimerHandle:
+        return call_later(loop, max(0.0, delay - EARLY_S), *words, **fields)
+
+    monkeypatch.setattr(asyncio.BaseEventLoop, "call_later", early)
+
+
+@pytest.mark.usefixtures("timers_come_early")
+def test_held_call_is_ended_in_time_though_timers_come_early() -> None:
+    """The decisions ask to be woken once, and look at nothing before that time."""
+
+    async def test() -> None:
+        made, sink = admission(), Recorder()
+        route = batch_route(1_000)
+        made.follow_routes([route], 4)
+        made.order(item(made, route, "a", sink))
+        async with asyncio.timeout(BOUND_S):
+            await sink.ended.wait()
+        assert sink.refusal is ErrorKind.NOT_READY
+        assert not made.busy
+
+    asyncio.run(test())
