--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -8,8 +8,8 @@
 import asyncio
 import dataclasses
 import random
-import time
 from collections.abc import Sequence
+from functools import partial
 from typing import Protocol
 
 import picologging as logging
@@ -35,6 +35,7 @@
     Settings,
     Tenant,
 )
+from eiderhub.sidecar.clock import Alarm, now_us
 
 NO_EVENT = -1
 LOWEST_CREDIT, PRIORITY_STEP = 0.1, 0.35  # worth of a class by its priority, against the highest
@@ -276,10 +277,10 @@
         self._balancer: Balancer | None = None  # that decides on new calls
         self._balancers: list[Balancer] = []  # that one, and earlier ones for as long as they have calls
         self.refused = 0
-        self._timers_early = 0  # timers that came before their time
 
-    def now_us(self) -> int:
-        return time.monotonic_ns() // 1000  # the loop's own clock stands still while a callback runs
+    @staticmethod
+    def now_us() -> int:
+        return now_us()  # the loop's own clock stands still while a callback runs
 
     @property
     def busy(self) -> bool:
@@ -293,7 +294,6 @@
             ("calls_held", sum(balancer.queue.count for balancer in self._balancers)),
             ("instances", len(self._balancers)),
             ("endpoints", len(self._records)),
-            ("timers_early", self._timers_early),
             ("sweep_overdue_ms", self._sweep_overdue_us(self.now_us()) // 1000),
         ]
 
@@ -533,10 +533,11 @@
             self._give_up(made)
 
     def timer(self, delay_us: int, mark: str) -> None:
-        self._loop.call_later(delay_us / 1e6, self._wake, mark, self.now_us() + delay_us)
+        # Danger: the loop's own timers may come up to a millisecond early. The decisions look at nothing
+        # before their time and ask only once: a timer that comes early would be their last.
+        Alarm(self.now_us() + delay_us, partial(self._wake, mark))
 
-    def _wake(self, mark: str, due_us: int) -> None:
-        self._timers_early += self.now_us() < due_us
+    def _wake(self, mark: str) -> None:
         for balancer in self._deciding():
             balancer.wake(self.now_us(), mark)
 
@@ -551,6 +552,5 @@
     def write_log(self, text: str, **fields: str | int | float) -> None:
         """What bears on calls' fates, every few seconds."""
         if text == "state":
-            fields |= {"timers_early": self._timers_early}
             fields |= {"sweep_overdue_ms": self._sweep_overdue_us(self.now_us()) // 1000}
             log.info("%s: %s", self._service, ", ".join(f"{k} {v}" for k, v in fields.items()))
