--- a/tests/model/items.py
+++ b/tests/model/items.py
@@ -51,6 +51,10 @@
 CALM_S = 30.0  # after it, in which everything must come to its end
 MOST_DELAY_S = 0.02
 MOST_NOTICE_S = 2.0  # until an end hears that its connection has broken
+# An item lies if nobody has worked on it for so long, in calm, and nothing at all has been finished lately.
+LYING_S, FINISHED_LATELY_S = 5.0, 3.0
+SETTLED_S = 5.0  # a trouble lasts no longer, so that calm begins so long after the last one
+LOOK_S = 0.25  # how often it is looked for items that lie
 
 
 class Broken(AssertionError):
@@ -235,6 +239,7 @@
     def _finish(self, session: Session, message: ItemFinished) -> None:
         def done() -> None:
             self.dispatcher.stored(session, message.key)
+            self._world.finished_at = self._world.timeline.now
             self.flush()
 
         self.commit(lambda: self.dispatcher.finish(self._world.timeline.now, session, message), done)
@@ -336,13 +341,26 @@
         self.link: Link | None = None
         self.ledger = ItemLedger(name, "z")
         self._attempts: dict[ItemKey, int] = {}  # serial of the attempt that runs
+        self._moving: set[ItemKey] = set()  # those at an endpoint that works on them
         self._serial = 0
+        self.stuck_until = 0.0
         self._tend()
 
     @property
     def frozen(self) -> bool:
         return self._world.timeline.now < self.frozen_until
 
+    @property
+    def stuck(self) -> bool:
+        """Whether it takes items and moves none: no endpoint can be reached, or its decisions stand still."""
+        return self._world.timeline.now < self.stuck_until
+
+    def works_on(self) -> list[ItemKey]:
+        """The items that endpoints work on for it."""
+        if not self.alive or self.frozen:
+            return []
+        return [key for key in self._moving if key in self._attempts]
+
     def _later(self, delay: float, call: Callable[[], None]) -> None:
         """Do something in this process's time: not while it is frozen, and not after its end."""
         ledger = self.ledger
@@ -435,20 +453,33 @@
         outcome: ItemFinished | ItemReturned = ItemFinished(key, True, "text")
         delay = rng.expovariate(1 / 0.5)
         drawn = rng.random()
-        if drawn < 0.10:
+        self._moving.discard(key)
+        if self.stuck:
+            in_queue = drawn < 0.5
+            outcome, delay = ItemReturned(key, in_queue, 0), SILENT_ATTEMPT_S
+        elif drawn < 0.10:
             outcome = ItemReturned(key, True, 0)
         elif drawn < 0.16:
             outcome = ItemReturned(key, False, 1)
-        elif drawn < 0.20:
+        elif drawn < 0.20 and self._world.timeline.now < TROUBLE_S:  # an endpoint has gone dark
             outcome, delay = ItemReturned(key, False, 0), SILENT_ATTEMPT_S
+        else:
+            self._moving.add(key)
+            self._later(delay / 2, partial(self._begin, key, serial))
 
         def ended() -> None:
             if self._attempts.get(key) == serial:
                 del self._attempts[key]
+                self._moving.discard(key)
                 self._send(self.ledger.ended(self._world.timeline.now, outcome))
 
         self._later(delay, ended)
 
+    def _begin(self, key: ItemKey, serial: int) -> None:
+        """The item's first event comes."""
+        if self._attempts.get(key) == serial and self.ledger.accepted:
+            self._send([ItemStarted(key)])
+
 
 class Trouble(Enum):
     """What may happen to the parts of the world."""
@@ -460,22 +491,30 @@
     FREEZE = "a sidecar stands still"
     LAPSE = "the lease lapses for a moment, and the epoch goes on"
     EPOCH = "another primary leads"
+    STUCK = "a sidecar moves nothing for a while, or for good"
 
 
 class World:
-    """One run, drawn from its seed alone."""
+    """One run, drawn from its seed alone.
 
-    def __init__(self, seed: int) -> None:
+    `standstills`: sidecars that move nothing are among the troubles.
+    """
+
+    def __init__(self, seed: int, standstills: bool = False) -> None:
         self.seed = seed
+        self._standstills = standstills
         self.rng = random.Random(seed)
         self.timeline = Timeline()
         self.accepted: dict[str, set[str]] = {}
         self.ended: set[str] = set()
+        self.worked_on: dict[ItemKey, float] = {}  # when an endpoint last had the item
+        self.finished_at = 0.0
         self.seen: dict[tuple[str, int], str] = {}  # items by job and position, as clients have read them
         self._unreachable: dict[str, float] = {}
         self.group = StorageGroup(self)
         self.sidecars = [SidecarProcess(self, self.group, f"s{number}") for number in range(SIDECARS)]
         self._draw()
+        self.timeline.at(TROUBLE_S + SETTLED_S, self._look)
 
     def unreachable(self, sidecar: SidecarProcess) -> bool:
         return self.timeline.now < self._unreachable.get(sidecar.name, 0.0)
@@ -489,10 +528,13 @@
                 self.timeline.at(rng.uniform(0.5, TROUBLE_S), partial(self.group.submit, job, items))
             if rng.random() < 0.2:
                 self.timeline.at(rng.uniform(2.0, TROUBLE_S), partial(self.group.end, job))
-        kinds = rng.sample(list(Trouble), rng.randint(2, len(Trouble)))
+        known = [kind for kind in Trouble if kind is not Trouble.STUCK]
+        kinds = rng.sample(known, rng.randint(2, len(known)))
         for _ in range(rng.randint(8, 30)):
             kind = rng.choice(kinds)
             self.timeline.at(rng.uniform(0.5, TROUBLE_S), partial(self._strike, kind))
+        for _ in range(rng.randint(1, 2 * SIDECARS) if self._standstills else 0):
+            self.timeline.at(rng.uniform(0.5, TROUBLE_S), partial(self._strike, Trouble.STUCK))
 
     def _strike(self, kind: Trouble) -> None:
         rng, now = self.rng, self.timeline.now
@@ -513,6 +555,32 @@
             self.group.lapsed_until = now + rng.uniform(0.01, 1.0)
         elif kind is Trouble.EPOCH:
             self.group.change_epoch()
+        elif kind is Trouble.STUCK and sidecar is not self.sidecars[0]:
+            sidecar.stuck_until = now + rng.choice([rng.uniform(0.5, SETTLED_S), TROUBLE_S + CALM_S])
+
+    # --- items that lie ---
+
+    def _look(self) -> None:
+        """What the operators look for: an item that nobody works on, though somebody could."""
+        now = self.timeline.now
+        able = False
+        for sidecar in self.sidecars:
+            able |= sidecar.alive and not sidecar.stuck and sidecar.ledger.accepted
+            self.worked_on.update((key, now) for key in sidecar.works_on())
+        idle = now - self.finished_at > FINISHED_LATELY_S
+        if able and idle and now > TROUBLE_S + SETTLED_S + LYING_S:
+            for key in self._open_items():
+                if now - self.worked_on.get(key, 0.0) > LYING_S:
+                    raise Broken(f"{self.seed}: {key} lies at {now:.1f} s, nobody works on it")
+        self.timeline.after(LOOK_S, self._look)
+
+    def _open_items(self) -> list[ItemKey]:
+        found = []
+        for job, items in self.accepted.items():
+            open_job = self.group.table.jobs.get(job)
+            if open_job is not None and job not in self.ended:
+                found += [ItemKey(job, i) for i in sorted(items) if not open_job.items[i].stored]
+        return found
 
     # --- the end ---
 
--- a/tests/test_items_model.py
+++ b/tests/test_items_model.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack
+from functools import partial
 from typing import Any, NamedTuple
 from unittest import mock
 
@@ -25,11 +26,11 @@
 MOST_SEEDS = 60  # in which a planted fault is to be found
 
 
-def play_block(first: int) -> list[str]:
+def play_block(first: int, standstills: bool = False) -> list[str]:
     found = []
     for seed in range(first, first + BLOCK):
         try:
-            World(seed).play()
+            World(seed, standstills).play()
         except Broken as error:
             found.append(str(error))
     return found
@@ -42,6 +43,14 @@
     assert not found, "\n".join(found[:5])
 
 
+def test_no_schedule_leaves_an_item_lying_though_sidecars_move_nothing() -> None:
+    """An item that some sidecar can run is worked on within the bound, whichever sidecars move nothing."""
+    with ProcessPoolExecutor(os.cpu_count()) as pool:
+        blocks = range(FIRST, FIRST + COUNT, BLOCK)
+        found = [each for block in pool.map(partial(play_block, standstills=True), blocks) for each in block]
+    assert not found, "\n".join(found[:5])
+
+
 def test_schedule_is_the_same_each_time() -> None:
     first, second = World(3), World(3)
     first.play()
