--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -115,6 +115,8 @@
         if not self.is_current(session):
             return
         session.heard_at = now
+        if message.answered:
+            self.scheduler.answered(now, session.node)
         self._compare(session, message.received, message.held)
         self._send(session, WorkerReported())
 
@@ -149,7 +151,7 @@
     # --- items ---
 
     def _release(self, item: Item) -> None:
-        self.scheduler.forget(item.key)
+        self.scheduler.released(item.key)
         self.table.release(item)
 
     def give_out(self, now: float, wall: float) -> None:
@@ -160,15 +162,24 @@
             for item in list(job.waiting()):
                 if item.errors >= job.record.max_attempts:
                     continue
-                worker = self.scheduler.choose(now)
+                worker = self.scheduler.choose(now, item.key)
                 if worker is None:
-                    return
+                    if not self.scheduler.has_room(now):
+                        return
+                    continue
                 session = self._sessions[worker.node]
-                order = self.table.start(wall, item, worker.node, session.orders + 1)
+                tries = self.scheduler.tries(item.key)
+                order = self.table.start(wall, item, worker.node, session.orders + 1, tries)
                 session.orders += 1
                 self.scheduler.given(now, item.key)
                 self._send(session, order)
 
+    def started(self, now: float, session: Session, key: ItemKey) -> None:
+        """An item's first event has come."""
+        item = self.table.find(key)
+        if item is not None and item.node == session.node:
+            self.scheduler.started(now, session.node, key)
+
     def finish(self, now: float, session: Session, message: ItemFinished) -> list[Write]:
         """A sidecar has an item's result; what to write, nothing where it has been taken before."""
         item = self.table.find(message.key)
@@ -176,9 +187,10 @@
         if node == session.node:
             self.scheduler.finished(now, node, message.key)
         writes = self.table.finish(message.key, message.succeeded, message.text)
-        if writes and node not in ("", session.node):
+        if writes:
             self.scheduler.forget(message.key)
-            self._cancel(node, message.key)
+            if node not in ("", session.node):
+                self._cancel(node, message.key)
         return writes
 
     def stored(self, session: Session, key: ItemKey) -> bool:
@@ -193,12 +205,15 @@
             return
         item = self.table.returned(session.node, message.key, message.errors, message.progress)
         if item is not None:
-            self.scheduler.returned(now, session.node, message.key, message.refused)
+            self.scheduler.returned(now, session.node, message.key, message.reason)
+            if message.errors:
+                self.scheduler.answered(now, session.node)
 
     def cancel_job(self, job_id: str) -> None:
         """The job's end is committed: nobody runs its items any more."""
         job = self.table.jobs.get(job_id)
         for item in job.items.values() if job is not None else ():
+            self.scheduler.forget(item.key)
             if item.state is ItemState.RUNNING:
                 node = item.node
                 self._release(item)
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -365,15 +365,16 @@
         ]
         return sorted(jobs, key=lambda job: job.due_at)
 
-    def start(self, wall: float, item: Item, node: str, order: int = 0) -> RunItem:
-        """The item runs at a node from now on."""
+    def start(self, wall: float, item: Item, node: str, order: int = 0, tries: int = 0) -> RunItem:
+        """The item runs at a node from now on; `tries`: at how many it has failed to move."""
         submitted = self._submitted(item.job.record.id)[item.id]
         self._move(item, ItemState.RUNNING, node, order)
         due_ms = int((item.job.due_at - wall) * 1000)
         body = base64.b64decode(submitted.body)
         return RunItem(
-            item.key, item.job.record.route, submitted.path, submitted.headers, body, due_ms, item.progress
-        )
+            item.key, item.job.record.route, submitted.path, submitted.headers, body, due_ms,
+            item.progress, tries,
+        )  # fmt: skip
 
     def announced(self, node: str, key: ItemKey) -> bool:
         """A node says that it holds the item; whether it should go on."""
--- a/eiderhub/batch/ledger.py
+++ b/eiderhub/batch/ledger.py
@@ -50,6 +50,7 @@
         self._received = 0  # `RunItem`s of this session
         self._heard_at = 0.0
         self._next_report = 0.0
+        self._answered = False  # by endpoints, since the last report
         self.accepted = False
 
     def __len__(self) -> int:
@@ -84,6 +85,10 @@
         """The primary has said something."""
         self._heard_at = now
 
+    def endpoints_answered(self) -> None:
+        """An endpoint has answered a call of this sidecar."""
+        self._answered = True
+
     def is_silent(self, now: float) -> bool:
         """Whether the primary has said nothing for so long that the session is to be ended."""
         return self.accepted and now - self._heard_at > SILENT_S
@@ -100,7 +105,8 @@
 
     def _report(self, now: float) -> WorkerReport:
         self._next_report = now + REPORT_S
-        return WorkerReport(self._received, self.keys)
+        answered, self._answered = self._answered, False
+        return WorkerReport(self._received, self.keys, answered)
 
     # --- items ---
 
--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from msgspec import Struct
 
 REPORT_S = 1.0  # a sidecar says so often what it holds
@@ -30,10 +32,14 @@
 
 
 class WorkerReport(Struct, tag=True, frozen=True):
-    """All items that the sidecar holds, once it has read so many of the session's `RunItem`s."""
+    """All items that the sidecar holds, once it has read so many of the session's `RunItem`s.
+
+    `answered`: whether endpoints have answered any of its calls, live ones too, since the report before.
+    """
 
     received: int
     held: list[ItemKey]
+    answered: bool = False
 
 
 class WorkerReported(Struct, tag=True, frozen=True):
@@ -94,6 +100,7 @@
     body: bytes
     due_in_ms: int
     progress: Progress | None = None
+    tries: int = 0  # sidecars at which it has failed to move since it last moved
 
 
 class CancelItem(Struct, tag=True, frozen=True):
@@ -120,14 +127,21 @@
     key: ItemKey
 
 
-class ItemReturned(Struct, tag=True, frozen=True):
-    """The sidecar does not run the item any more.
+class ReturnReason(Enum):
+    """Why a sidecar does not run an item any more."""
 
-    `refused`: its admission had no room. `errors`: answers of 500 that it has seen for the item.
-    """
+    REFUSED = "refused"  # its admission had no room
+    FAILED = "failed"  # all attempts that were allowed have failed
+    SILENT = "silent"  # its endpoint has said nothing for too long
+    STUCK = "stuck"  # no endpoint has taken it, or nothing at all has moved at the sidecar
+    STOPPING = "stopping"  # the sidecar ends
+
+
+class ItemReturned(Struct, tag=True, frozen=True):
+    """The sidecar does not run the item any more; `errors`: answers of 500 that it has seen for the item."""
 
     key: ItemKey
-    refused: bool
+    reason: ReturnReason
     errors: int
     progress: Progress | None = None
 
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -193,6 +193,7 @@
 
     def _take(self, event: Event) -> bool:
         call = self._call
+        self._admission.answers += 1
         if call.last_event != NO_EVENT and event.id >= 0 and event.id != call.last_event + 1:
             return False
         if event.id >= 0:
@@ -212,6 +213,7 @@
     def on_end(self) -> None:
         if self.over:
             return
+        self._admission.answers += 1
         named = {name.lower(): value for name, value in self._headers}
         if self._parser is not None:
             if self._parser.partial or not self._call.begun:
@@ -277,6 +279,7 @@
         self._balancer: Balancer | None = None  # that decides on new calls
         self._balancers: list[Balancer] = []  # that one, and earlier ones for as long as they have calls
         self.refused = 0
+        self.answers = 0  # events and answers of endpoints
 
     @staticmethod
     def now_us() -> int:
@@ -299,7 +302,7 @@
 
     def _sweep_overdue_us(self, now: int) -> int:
         """For how long the look at held calls that is due longest has been due; 0: none is."""
-        return max((now - b.sweep_at for b in self._balancers if b.sweep_at >= 0), default=0)
+        return max((max(0, now - b.sweep_at) for b in self._balancers if b.sweep_at >= 0), default=0)
 
     def activity(self, endpoint: str) -> EndpointActivity:
         return self._activities.setdefault(endpoint, EndpointActivity())
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -26,6 +26,7 @@
     ReadBody,
     ReadResults,
     Redirect,
+    ReturnReason,
     RunItem,
     Submit,
     WorkerAccepted,
@@ -45,10 +46,16 @@
 STUCK_S = 4.0  # an item that has not moved for so long is named among the figures
 NEVER_DONE = 422
 ITEM_TIME_S = 60.0  # an item's attempt on this sidecar takes no longer
+TEND_S = 0.25  # how often items and the session are looked at
 # An item that has not moved for so long is given back. Danger: an endpoint whose machine has lost its power
 # says nothing, and would hold the item for the time above.
 ITEM_SILENCE_S = 4.0
-TEND_S = 0.25  # how often items and the session are looked at
+# So is one that no endpoint has taken for so long: the decisions hold a call for a part of its objective.
+QUEUE_SILENCE_S = 2.0
+# So are those that have not begun, once no endpoint has said anything to this sidecar at so many looks in a
+# row: it reaches none, and others may. Twice as many for each sidecar that gave the item back before: where
+# endpoints are slow everywhere, one has to wait. Looks, not seconds: one that was frozen has answers to read.
+STILL_LOOKS = 4
 
 
 log = logging.getLogger("items")
@@ -59,6 +66,9 @@
 
     def route_for(self, name: str) -> tuple[Route, Admission] | None: ...
 
+    def answers(self) -> int:
+        """How often any endpoint has said anything to this sidecar."""
+
 
 class RunningItem:
     """One item that this sidecar runs; implements admission's `Sink`."""
@@ -69,6 +79,8 @@
         self.texts: list[str] = list(order.progress.texts) if order.progress else []
         self._started = False
         self.moved_at = runner.now()
+        self._still_looks = 0  # in a row, at which endpoints had said nothing to this sidecar
+        self._still_bound = STILL_LOOKS << order.tries
         self.call: Call | None = None
         self.admission: Admission | None = None
 
@@ -89,13 +101,32 @@
         if status == NEVER_DONE:
             self._runner.ended(ItemFinished(self.key, False, ""))
         else:
-            self._runner.give_back(self, refused=False)
+            self._runner.give_back(self, ReturnReason.FAILED)
 
     def break_off(self) -> None:
-        self._runner.give_back(self, refused=False)
+        self._runner.give_back(self, ReturnReason.FAILED)
 
     def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
-        self._runner.give_back(self, refused=kind is ErrorKind.NOT_READY)
+        refused = kind is ErrorKind.NOT_READY
+        self._runner.give_back(self, ReturnReason.REFUSED if refused else ReturnReason.FAILED)
+
+    @property
+    def begun(self) -> bool:
+        """Whether an endpoint has said anything of it to this sidecar."""
+        return self._started
+
+    def looked_at(self, still: bool) -> bool:
+        """Count a look; whether the item is to be given up.
+
+        `still`: endpoints have said nothing to this sidecar since the look before.
+        """
+        self._still_looks = self._still_looks + 1 if still else 0
+        return not self._started and self._still_looks > self._still_bound
+
+    @property
+    def at_endpoint(self) -> bool:
+        """Whether it has been sent to one."""
+        return self.call is not None and self.call.current is not None
 
     @property
     def doing(self) -> str:
@@ -109,9 +140,9 @@
             return None
         return Progress(self.call.last_event, self.texts)
 
-    def returned(self, refused: bool) -> ItemReturned:
+    def returned(self, reason: ReturnReason) -> ItemReturned:
         errors = self.call.errors if self.call else 0
-        return ItemReturned(self.key, refused, errors, self.progress())
+        return ItemReturned(self.key, reason, errors, self.progress())
 
 
 class ItemRunner:
@@ -128,6 +159,7 @@
         self._calls: dict[int, asyncio.Future[Answer]] = {}
         self._numbers = itertools.count(1)
         self._up = asyncio.Event()  # set while a primary has taken the session
+        self._answers = 0  # of endpoints, at the last look
         self.stopping = False
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self._run()), loop.create_task(self._tend_forever())]
@@ -254,17 +286,32 @@
     def _tend(self) -> None:
         """Report when it is due; end a session that is silent, and attempts in which nothing moves."""
         now = self.now()
+        answers = self._router.answers()
+        still, self._answers = answers == self._answers, answers
+        if not still:
+            self._ledger.endpoints_answered()
         if self._connection is not None:
             if self._ledger.is_silent(now):
                 self._connection.close()
             else:
                 self._send(self._ledger.tick(now))
         for item in list(self._items.values()):
-            if now - item.moved_at >= ITEM_SILENCE_S:
+            reason = self._why_to_give_back(now, item, still)
+            if reason is not None:
                 log.info("%s %s has not moved, %s; given back", item.key.job, item.key.item, item.doing)
+                self.give_back(item, reason)
                 if item.call is not None and item.admission is not None:
                     item.admission.time_out(item.call)
-                self.give_back(item, refused=False)
+
+    @staticmethod
+    def _why_to_give_back(now: float, item: RunningItem, still: bool) -> ReturnReason | None:
+        """Why an item has been here for too long; None: it has not."""
+        idle_s = now - item.moved_at
+        if item.looked_at(still):
+            return ReturnReason.STUCK
+        if item.at_endpoint or item.begun:
+            return ReturnReason.SILENT if idle_s >= ITEM_SILENCE_S else None
+        return ReturnReason.STUCK if idle_s >= QUEUE_SILENCE_S else None
 
     # --- items ---
 
@@ -275,7 +322,7 @@
         self._items[order.key] = item
         found = self._router.route_for(order.route)
         if found is None or self.stopping:
-            self.give_back(item, refused=True)
+            self.give_back(item, ReturnReason.STOPPING if self.stopping else ReturnReason.REFUSED)
             return
         route, admission = found
         headers = {name.encode(): value.encode() for name, value in order.headers.items()}
@@ -309,8 +356,8 @@
         if self._items.pop(outcome.key, None) is not None:
             self._send(self._ledger.ended(self.now(), outcome))
 
-    def give_back(self, item: RunningItem, refused: bool) -> None:
-        self.ended(item.returned(refused))
+    def give_back(self, item: RunningItem, reason: ReturnReason) -> None:
+        self.ended(item.returned(reason))
 
     def return_all(self) -> None:
         """The sidecar stops: others go on with what has come so far."""
@@ -318,7 +365,7 @@
         for item in list(self._items.values()):
             if item.call is not None and item.admission is not None:
                 item.admission.abandon(item.call)
-                self.give_back(item, refused=False)
+                self.give_back(item, ReturnReason.STOPPING)
 
     @property
     def unstored(self) -> int:
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -120,6 +120,10 @@
         admission = self._admissions.get(route.draw_service(self._rng))
         return (route, admission) if admission is not None else None
 
+    def answers(self) -> int:
+        """How often any endpoint has said anything to this sidecar."""
+        return sum(admission.answers for admission in self._admissions.values())
+
     # --- clients ---
 
     @staticmethod
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -152,7 +152,7 @@
             self._dispatch.report(self._now(), session, message)
             self._flush()
         elif isinstance(message, ItemStarted):
-            self._dispatch.scheduler.started(message.key)
+            self._dispatch.started(self._now(), session, message.key)
             self._give_out()
         elif isinstance(message, ItemFinished):
             self._tasks.start(self._finish(session, message), connection.close)
--- a/tests/items_support.py
+++ b/tests/items_support.py
@@ -94,6 +94,12 @@
     def __init__(self) -> None:
         self.calls: dict[str, Call] = {}  # by item
         self.begun: list[str] = []
+        self.reaches_others = True  # whether endpoints answer other calls of this sidecar
+        self._answers = 0
+
+    def answers(self) -> int:
+        self._answers += self.reaches_others
+        return self._answers
 
     @staticmethod
     def now_us() -> int:
@@ -113,6 +119,7 @@
 
     def finish(self, item: str) -> None:
         call = self.calls.pop(item)
+        self._answers += 1
         call.sink.event(Event(b"", 0, f"text of {item}"))
         call.sink.finish()
 
@@ -132,6 +139,9 @@
     def route_for(self, name: str) -> tuple[Route, Admission] | None:
         return self._route, cast(Admission, self.admission)
 
+    def answers(self) -> int:
+        return self.admission.answers()
+
     async def submit(self, job: str, *items: str) -> int:
         requests = [
             {"id": i, "path": f"/{ROUTE}/{i}", "tokens": 1, "body": base64.b64encode(b"b").decode()}
--- a/tests/model/items.py
+++ b/tests/model/items.py
@@ -28,6 +28,7 @@
     ItemStarted,
     ItemStored,
     Redirect,
+    ReturnReason,
     RunItem,
     WorkerAccepted,
     WorkerOpen,
@@ -45,6 +46,7 @@
 RETRY_S = 0.1
 TEND_S = 0.25
 SILENT_ATTEMPT_S = 4.0
+QUEUE_SILENCE_S, STILL_S = 2.25, 1.5  # an item that no endpoint takes; one at a sidecar that moves nothing
 READ_S = 0.5
 HELD_UP = 0.02  # share of looks at the lease that come after its end
 TROUBLE_S = 15.0  # of each schedule
@@ -229,7 +231,7 @@
         elif isinstance(message, WorkerReport):
             self.dispatcher.report(now, link.session, message)
         elif isinstance(message, ItemStarted):
-            self.dispatcher.scheduler.started(message.key)
+            self.dispatcher.started(now, link.session, message.key)
         elif isinstance(message, ItemFinished):
             self._finish(link.session, message)
         elif isinstance(message, ItemReturned):
@@ -400,6 +402,8 @@
         elif self.ledger.is_silent(now):
             self.link.close_at_sidecar()
         else:
+            if self._world.standstills and not self.stuck:
+                self.ledger.endpoints_answered()  # its live calls
             self._send(self.ledger.tick(now))
         self._later(RETRY_S if self.link is None else TEND_S, self._tend)
 
@@ -430,7 +434,7 @@
         elif isinstance(message, Redirect):
             link.close_at_sidecar()
         elif isinstance(message, RunItem):
-            self._run(message.key)
+            self._run(message)
         elif isinstance(message, CancelItem):
             self.ledger.forget(message.key)
             self._attempts.pop(message.key, None)
@@ -444,7 +448,8 @@
 
     # --- attempts ---
 
-    def _run(self, key: ItemKey) -> None:
+    def _run(self, order: RunItem) -> None:
+        key = order.key
         if self.ledger.order(key) is Order.HELD:
             return
         self._serial += 1
@@ -455,14 +460,13 @@
         drawn = rng.random()
         self._moving.discard(key)
         if self.stuck:
-            in_queue = drawn < 0.5
-            outcome, delay = ItemReturned(key, in_queue, 0), SILENT_ATTEMPT_S
+            outcome, delay = self._unmoved(order)
         elif drawn < 0.10:
-            outcome = ItemReturned(key, True, 0)
+            outcome = ItemReturned(key, ReturnReason.REFUSED, 0)
         elif drawn < 0.16:
-            outcome = ItemReturned(key, False, 1)
+            outcome = ItemReturned(key, ReturnReason.FAILED, 1)
         elif drawn < 0.20 and not self._world.endpoints_are_well():
-            outcome, delay = ItemReturned(key, False, 0), SILENT_ATTEMPT_S
+            outcome, delay = ItemReturned(key, ReturnReason.SILENT, 0), SILENT_ATTEMPT_S
         else:
             self._moving.add(key)
             if self._world.standstills:
@@ -476,6 +480,15 @@
 
         self._later(delay, ended)
 
+    def _unmoved(self, order: RunItem) -> tuple[ItemReturned, float]:
+        """How an item ends that does not move: when it is given back depends on what else moves here."""
+        key = order.key
+        if not self.works_on():
+            return ItemReturned(key, ReturnReason.STUCK, 0), min(STILL_S * 2**order.tries, SILENT_ATTEMPT_S)
+        if self._world.rng.random() < 0.5:
+            return ItemReturned(key, ReturnReason.STUCK, 0), QUEUE_SILENCE_S
+        return ItemReturned(key, ReturnReason.SILENT, 0), SILENT_ATTEMPT_S
+
     def _begin(self, key: ItemKey, serial: int) -> None:
         """The item's first event comes."""
         if self._attempts.get(key) == serial and self.ledger.accepted:
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from eiderhub.batch.scheduler import LEAST_WINDOW
 from eiderhub.control.errors import ErrorKind, Refusal
 from tests.items_support import BOUND_S, Bench, Sidecar, bench, listed, until
 
@@ -178,3 +179,25 @@
             await until(lambda: "a" in sidecar.admission.calls | other.admission.calls, "its item runs")
 
     asyncio.run(test())
+
+
+def test_item_at_a_sidecar_that_reaches_no_endpoint_is_run_elsewhere(tmp_path: Path) -> None:
+    """Nothing answers that sidecar, live calls neither: it gives its items back long before one is silent."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            stuck, other = await made.sidecar("edge-0"), await made.sidecar("edge-1")
+            stuck.admission.reaches_others = False
+            assert await stuck.submit("job", "a", "b") == 202
+            await until(lambda: len(stuck.admission.calls | other.admission.calls) == 2, "both run")
+            taken = list(stuck.admission.calls)
+            assert taken, "the test wants an item at the sidecar that is stuck"
+            await holds(other, taken[0])
+            worker = made.storage.service._dispatch.scheduler.workers["edge-0"]
+            assert worker.window == LEAST_WINDOW
+            assert not worker.proven
+            for item in "ab":
+                other.admission.finish(item)
+            await listed(other, "job", "a", "b")
+
+    asyncio.run(test())
