--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -201,3 +201,18 @@
             await listed(other, "job", "a", "b")
 
     asyncio.run(test())
+
+
+def test_item_out_of_attempts_is_listed_though_there_is_no_control_session(tmp_path: Path) -> None:
+    """Nobody runs it any more: were it not listed, it would wait with nobody. This node has no such session."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            sidecar = await made.sidecar("edge-0")
+            assert await sidecar.submit("job", "a") == 202
+            await holds(sidecar, "a")
+            sidecar.admission.calls["a"].errors = made.storage.service._jobs.jobs["job"].record.max_attempts
+            sidecar.admission.refuse("a")
+            await listed(sidecar, "job", "a")
+
+    asyncio.run(test())
