--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -26,6 +26,9 @@
 MOST_ITEMS = 200
 MOST_PAGE = 1_000_000  # bytes of results in one answer
 RETENTION_SLACK_S = 5.0  # clocks of machines differ: an item is given up so much later
+PAGE_BYTES = 4096  # that the store allots at once
+FIRST_RESULT_BYTES = 2.0 * PAGE_BYTES  # what a result is taken to need at first
+RESULT_WEIGHT = 0.05  # of the newest in the mean of late
 PURGE_SLACK_S = 60.0  # a job is forgotten so long after its results need to be told no more
 
 
@@ -148,6 +151,7 @@
         self._queued: dict[str, float] = {}  # tokens of unfinished items by route
         self._bodies: dict[str, dict[str, SubmittedItem]] = {}  # of jobs that have items to run
         self._running: dict[str, dict[ItemKey, Item]] = {}  # by node
+        self._result_bytes = FIRST_RESULT_BYTES  # that one result takes, on the mean of late
 
     def load(self) -> None:
         """Everything from the store; all of it is committed."""
@@ -199,6 +203,12 @@
         if node:
             self._running.setdefault(node, {})[item.key] = item
 
+    def expected_bytes(self) -> float:
+        """What the results of all unfinished items will take in the store, by the mean of late ones."""
+        open_jobs = (job for job in self.jobs.values() if not job.record.ended)
+        unfinished = sum(len(job.items) - job.positions for job in open_jobs)
+        return unfinished * self._result_bytes
+
     def queued(self, route: str) -> float:
         """Tokens of the route's items that have no result yet."""
         return self._queued.get(route, 0.0)
@@ -262,7 +272,10 @@
         self._release(job, unfinished)
         job.record.ended = True
         self._bodies.pop(job_id, None)
-        return [Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(job.record))]
+        return [
+            Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(job.record)),
+            Write(BODY_PREFIX + job_id, None),
+        ]
 
     def _release(self, job: Job, tokens: float) -> None:
         route = job.record.route
@@ -288,13 +301,19 @@
     # --- results ---
 
     def finish(self, key: ItemKey, succeeded: bool, text: str) -> list[Write]:
-        """Give an item's result its position; nothing where it has one, or its job is unknown or ended."""
+        """Give an item's result its position; nothing where it has one, or its job is unknown or ended.
+
+        With the last result the job's body goes: nothing of it will run, and nobody may ask for it.
+        """
         item = self.find(key)
         if item is None or item.state is ItemState.LISTED or item.job.record.ended:
             return []
         job = item.job
         record = ResultRecord(item.id, "succeeded" if succeeded else "dead_letter", text)
-        write = Write(_result_key(key.job, job.positions), msgspec.msgpack.encode(record))
+        value = msgspec.msgpack.encode(record)
+        pages = len(value) // PAGE_BYTES + 1
+        self._result_bytes += RESULT_WEIGHT * (pages * PAGE_BYTES - self._result_bytes)
+        writes = [Write(_result_key(key.job, job.positions), value)]
         self._move(item, ItemState.LISTED)
         item.position = job.positions
         item.progress = None
@@ -302,7 +321,8 @@
         job.positions += 1
         if job.positions == len(job.items):
             self._bodies.pop(key.job, None)
-        return [write]
+            writes.append(Write(BODY_PREFIX + key.job, None))
+        return writes
 
     def listed(self, key: ItemKey) -> bool:
         """The write of an item's result, and all before it, are committed; whether that was news."""
@@ -410,12 +430,15 @@
             self.release(item)
         return len(items)
 
-    def hopeless(self, wall: float, routes: set[str]) -> list[Item]:
-        """Items that end as dead letters: out of attempts or of time, or their route is gone."""
+    def hopeless(self, wall: float, routes: set[str] | None) -> list[Item]:
+        """Items that end as dead letters: out of attempts or of time, or their route is gone.
+
+        `routes`: those in force; None where they are not known, and no item is judged by its route.
+        """
         found = []
         for job in self.open_jobs():
             late = wall > job.record.accepted_at + job.record.retention_s + RETENTION_SLACK_S
-            gone = job.record.route not in routes
+            gone = routes is not None and job.record.route not in routes
             for item in job.waiting():
                 if late or gone or item.errors >= job.record.max_attempts:
                     found.append(item)
--- a/eiderhub/programs/batch_calls.py
+++ b/eiderhub/programs/batch_calls.py
@@ -20,8 +20,9 @@
 class BatchCalls:
     """Of one storage node.
 
-    `terms` gives those of a batch route by its name. `accepted` is called once a job is committed, `ended`
-    once a job's end is.
+    `terms` gives those of a batch route by its name; `has_space` whether the store has room for so many bytes
+    and for the results of all jobs in the table. `accepted` is called once a job is committed, `ended` once a
+    job's end is.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         group: GroupDriver,
         spending: Spending,
         terms: Callable[[str], BatchTerms | None],
+        has_space: Callable[[int], bool],
         accepted: Callable[[], None],
         ended: Callable[[str], None],
     ) -> None:
@@ -37,6 +39,7 @@
         self._group = group
         self._spending = spending
         self._terms = terms
+        self._has_space = has_space
         self._accepted = accepted
         self._ended = ended
         self._epoch = 0
@@ -101,6 +104,9 @@
             return self._refused(message.call, made)
         if not made:
             return await self._taken_before(message)
+        if not self._has_space(len(message.body)):
+            self._jobs.forget(message.job)
+            return self._refused(message.call, Refusal(ErrorKind.NO_ROOM, "the store is nearly full"))
         refused = await self._pay(message)
         if self._epoch != epoch:
             raise NotPrimary  # the table has been loaded anew: the job is not there, or another call's
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -11,9 +11,10 @@
 
 from eiderhub import address
 from eiderhub.batch.dispatch import Dispatcher, Session
-from eiderhub.batch.jobs import BatchTerms, Item, JobTable
+from eiderhub.batch.jobs import BatchTerms, JobTable
 from eiderhub.batch.messages import (
     ItemFinished,
+    ItemKey,
     ItemReturned,
     ItemStarted,
     Redirect,
@@ -28,6 +29,7 @@
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.batch_calls import BatchCall, BatchCalls
+from eiderhub.programs.dead_letters import DeadLetters
 from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
@@ -39,7 +41,7 @@
 
 DISPATCH_S = 0.02
 FAULT_PAUSE_S = 1.0  # after a fault of the program itself, before the dispatcher goes on
-HOPELESS_S = 0.5  # how often dead letters are looked for
+SPACE_SHARE = 0.85  # of the store that jobs and the results of all that was taken may come to need
 PROGRESS_S = 1.0  # how often it is looked for items that do not move
 STUCK_LOG_S = 5.0  # how often they are logged
 
@@ -65,16 +67,28 @@
         self._sessions: dict[Connection, Session] = {}
         self._connections: dict[Session, Connection] = {}
         self._epoch = 0
-        self._next_hopeless = 0.0
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
             node, self.tables, self._candidates, self._on_tables, self._describe, self._spending.answered
         )
         self._calls = BatchCalls(
-            self._jobs, self.group, self._spending, self._terms, self._give_out, self._job_ended
+            self._jobs,
+            self.group,
+            self._spending,
+            self._terms,
+            self._has_space,
+            self._give_out,
+            self._job_ended,
         )
         self._tasks = TaskSet()
-        self._dispatcher = asyncio.get_running_loop().create_task(self._dispatch_forever())
+        self._dead_letters = DeadLetters(
+            self._jobs, self.group, self._known_routes, self._buried, settings.status_ttl_s
+        )
+        loop = asyncio.get_running_loop()
+        self._loops = [
+            loop.create_task(self._dispatch_forever()),
+            loop.create_task(self._dead_letters.run_forever()),
+        ]
 
     def _now(self) -> float:
         return self.group.now()
@@ -204,6 +218,11 @@
             name, route.window_ms / 1000, route.retention_s, route.max_attempts, route.max_queued_tokens
         )
 
+    def _has_space(self, body_bytes: int) -> bool:
+        """Danger: a primary whose writes fail steps down, for one that has just as little space."""
+        needed = self._store.used_bytes + body_bytes + self._jobs.expected_bytes()
+        return needed < SPACE_SHARE * self._store.limit_bytes
+
     def _job_ended(self, job: str) -> None:
         self._dispatch.cancel_job(job)
         self._flush()
@@ -224,14 +243,12 @@
         while True:
             await asyncio.sleep(DISPATCH_S)
             try:
-                await self._tend()
-            except (NotPrimary, CommitUnknown):
-                pass  # the next primary does what is left
+                self._tend()
             except Exception as error:  # Danger: were this task to end, no item would ever be given out again
                 log.error("the dispatcher failed: %r", error)
                 await asyncio.sleep(FAULT_PAUSE_S)
 
-    async def _tend(self) -> None:
+    def _tend(self) -> None:
         """What is due now, if this node leads."""
         self.group.roster.informed = self._session.fresh()
         if not self.group.leads():
@@ -244,10 +261,6 @@
         self._flush()
         self._give_out()
         self._watch_progress()
-        if now >= self._next_hopeless and self._routes is not None and self._session.fresh():
-            self._next_hopeless = now + HOPELESS_S
-            await self._bury(set(self._routes.by_name))
-            await self._purge()
 
     def _watch_progress(self) -> None:
         """Look for items that do not move, and tell on-call staff."""
@@ -284,19 +297,19 @@
             self._dispatch.give_out(self._now(), time.time())
             self._flush()
 
-    async def _bury(self, routes: set[str]) -> None:
-        """List the dead letters."""
-        for item in self._jobs.hopeless(time.time(), routes):
-            await self._bury_one(item)
+    # --- dead letters ---
 
-    async def _bury_one(self, item: Item) -> None:
-        await self.group.commit(lambda: self._jobs.finish(item.key, False, ""))
-        if self._jobs.listed(item.key):
-            self._calls.tell_readers(item.key.job)
+    def _known_routes(self) -> set[str] | None:
+        """The routes in force; None: this node can't be sure of them."""
+        if self._routes is None or not self._session.fresh():
+            return None
+        return set(self._routes.by_name)
 
-    async def _purge(self) -> None:
-        """Forget one job that is long over."""
-        await self.group.commit(lambda: self._jobs.purge(time.time(), self._settings.status_ttl_s))
+    def _buried(self, key: ItemKey) -> None:
+        """An item is committed as a dead letter."""
+        self._dispatch.scheduler.forget(key)
+        if self._jobs.listed(key):
+            self._calls.tell_readers(key.job)
 
     async def stop(self) -> None:
         await self._host.stop()
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -21,6 +21,7 @@
 FILE_NAME = "replica.lmdb"
 DISK_SHARE = 0.9  # of the disk that the map may take: the state, and a snapshot beside it
 LEAST_MAP_BYTES = 8 << 20
+UNLIMITED_BYTES = 1 << 40
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
 ACTIVE_KEY, STAGED_KEY = b"active", b"staged"
 TABLES = (b"data", b"data-b")  # one holds the state, the other a snapshot that is on its way
@@ -112,8 +113,11 @@
 
     @property
     def used_bytes(self) -> int:
-        """How far its file has grown, pages that are free again included."""
-        return int((self._environment.info()["last_pgno"] + 1) * self._environment.stat()["psize"])
+        """What the state takes: whole pages, without those that are free again."""
+        with self._environment.begin() as transaction:
+            state = transaction.stat(self._data)
+        pages = state["branch_pages"] + state["leaf_pages"] + state["overflow_pages"]
+        return int(pages * state["psize"])
 
     @property
     def _data(self) -> lmdb._Database:
@@ -248,6 +252,12 @@
         self.position = NOWHERE
         self.data: dict[str, bytes] = {}
         self._staged: tuple[Staged, dict[str, bytes]] | None = None
+        self.limit_bytes = UNLIMITED_BYTES
+
+    @property
+    def used_bytes(self) -> int:
+        """What the state takes."""
+        return sum(len(value) for value in self.data.values())
 
     def grant(self, epoch: int) -> None:
         self.epoch = max(self.epoch, epoch)
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -13,8 +13,11 @@
 
 import pytest
 
+from eiderhub.batch.jobs import FIRST_RESULT_BYTES
 from eiderhub.batch.scheduler import LEAST_WINDOW
 from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.coordination.messages import Write
+from eiderhub.programs.storage_service import SPACE_SHARE
 from tests.items_support import BOUND_S, Bench, Sidecar, bench, listed, until
 
 RETURN_S = 0.8  # a sidecar that has gone has so long to come back
@@ -204,7 +207,7 @@
 
 
 def test_item_out_of_attempts_is_listed_though_there_is_no_control_session(tmp_path: Path) -> None:
-    """Nobody runs it any more: were it not listed, it would wait with nobody. This node has no such session."""
+    """Nobody runs it any more: were it not listed, it would wait with nobody. Here is no such session."""
 
     async def test() -> None:
         async with bench(tmp_path) as made:
@@ -216,3 +219,57 @@
             await listed(sidecar, "job", "a")
 
     asyncio.run(test())
+
+
+def test_items_are_given_out_while_dead_letters_wait_for_their_commit(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A commit may take as long as a backup is away: nothing else waits for it."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            service = made.storage.service
+            sidecar = await made.sidecar("edge-0")
+            assert await sidecar.submit("job", "a") == 202
+            await holds(sidecar, "a")
+            group_commit = service.group.commit
+            held_up = asyncio.Event()
+
+            async def commit(change: Callable[[], list[Write]]) -> None:
+                await group_commit(change)
+                held_up.set()
+                await asyncio.Event().wait()
+
+            sidecar.admission.calls["a"].errors = made.storage.service._jobs.jobs["job"].record.max_attempts
+            monkeypatch.setattr(service.group, "commit", commit)
+            sidecar.admission.refuse("a")
+            async with asyncio.timeout(BOUND_S):
+                await held_up.wait()
+            monkeypatch.setattr(service.group, "commit", group_commit)
+            assert await sidecar.submit("next", "b") == 202
+            await holds(sidecar, "b")
+            sidecar.admission.refuse("b")
+            await holds(sidecar, "b")
+
+    asyncio.run(test())
+
+
+def test_store_that_is_nearly_full_takes_no_job_and_lists_all_that_it_took(tmp_path: Path) -> None:
+    """Room is kept for the results of what was taken; a job that is sent again is known."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            sidecar = await made.sidecar("edge-0")
+            store = made.storage.store
+            store.limit_bytes = int((store.used_bytes + 4.5 * FIRST_RESULT_BYTES) / SPACE_SHARE)
+            assert await sidecar.submit("job", "a", "b", "c", "d") == 202
+            assert await sidecar.submit("next", "e") == 429
+            assert await sidecar.submit("job", "a", "b", "c", "d") == 202
+            for item in "abcd":
+                await holds(sidecar, item)
+                sidecar.admission.finish(item)
+            await listed(sidecar, "job", "a", "b", "c", "d")
+            assert store.get("body/job") is None
+            assert await sidecar.submit("next", "e") == 202
+
+    asyncio.run(test())
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -32,6 +32,16 @@
     assert again.entries() == [Write("b", b"2")]
 
 
+def test_store_tells_what_its_state_takes_without_what_is_free_again(tmp_path: Path) -> None:
+    store = LmdbStore(tmp_path, DISK_MB, "id@h:1")
+    before = store.used_bytes
+    store.apply([update(1, Write("a", b"x" * 1_000_000))])
+    assert store.used_bytes >= before + 1_000_000
+    store.apply([update(2, Write("a", None))])
+    assert store.used_bytes <= before + 4096
+    assert store.limit_bytes == int(DISK_MB * 0.9) << 20
+
+
 def test_snapshot_replaces_all(tmp_path: Path) -> None:
     store = LmdbStore(tmp_path, DISK_MB, "id@h:1")
     store.apply([update(1, Write("old", b"1"))])
