--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -111,3 +111,10 @@
 
 def test_patch_needs_a_configuration() -> None:
     assert decide(None, 0, {"generation": 2}, patch=True) is ErrorKind.INVALID
+
+
+def test_unknown_service_beside_weights_is_refused() -> None:
+    """A route names it, though nothing is sent there."""
+    weights = [{"backend": "s", "weight": 1}]
+    body = document(2, route(backend="other", weighted_backends=weights))
+    assert decide(document(1), 1, body) is ErrorKind.INVALID
