Scale the bounds of items with their objective; judge routes once this node has led for a while

A class with an objective of seconds is held, and begins, later than the bounds; a new primary may not know yet a route for which its predecessor has taken a job, and would have listed its items as dead letters; a round of the dispatcher looked at every waiting item where only sidecars had room that items which failed before do not go to. Change: bounds by the route's objective; routes are judged once this node has led for longer than what it knows may be old; a round passes over 32 at most. Measured: test_items, test_scheduler, test_items_model, test_tier pass.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -28,6 +28,7 @@
 from eiderhub.batch.scheduler import Scheduler
 from eiderhub.coordination.messages import Write
 
+MOST_PASSED_OVER = 32  # items that wait for other sidecars than those with room, before a round is over
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 
 
@@ -158,13 +159,15 @@
         """Have as many items run as there is room for."""
         if now < self._give_from:
             return
+        passed_over = 0
         for job in self.table.in_order(wall, self.scheduler.run_s):
             for item in list(job.waiting()):
                 if item.errors >= job.record.max_attempts:
                     continue
                 worker = self.scheduler.choose(now, item.key)
                 if worker is None:
-                    if not self.scheduler.has_room(now):
+                    passed_over += 1
+                    if passed_over > MOST_PASSED_OVER or not self.scheduler.has_room(now):
                         return
                     continue
                 session = self._sessions[worker.node]
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from eiderhub.batch.messages import ItemKey, ReturnReason
 
@@ -112,44 +112,44 @@
 
     def has_room(self, now: float) -> bool:
         """Whether any item may be given out now."""
-        for key in [k for k, since in self._starting.items() if now - since > STARTING_S]:
-            del self._starting[key]
-        few_begin = len(self._starting) < STARTING_PER_ENDPOINT * self._endpoints
-        return few_begin and any(self._is_open(now, worker) for worker in self.workers.values())
+        return self._few_begin(now) and any(self._is_open(now, worker) for worker in self.workers.values())
 
     def choose(self, now: float, key: ItemKey) -> Worker | None:
         """The sidecar that is to run the item; None: it waits."""
-        if not self.has_room(now):
+        if not self._few_begin(now):
             return None
+        candidates = [worker for worker in self.workers.values() if self._is_open(now, worker)]
         tried = self._tried.get(key)
         if not tried:
-            return self._roomiest(now, self.workers.values())
-        proven = [worker for worker in self.workers.values() if worker.proven]
-        if proven:  # worth waiting for: they have room again soon
-            return self._least_recently_tried(self._open(now, proven), tried)
-        untried = [worker for worker in self.workers.values() if worker.node not in tried]
-        if untried:
-            return self._roomiest(now, untried)
-        return self._least_recently_tried(self._open(now, self.workers.values()), tried)
-
-    @staticmethod
-    def _least_recently_tried(workers: list[Worker], tried: dict[str, float]) -> Worker | None:
-        """Where the item has never been, or was longest ago; of those the one that was answered last."""
-        return min(
-            workers, key=lambda worker: (tried.get(worker.node, NEVER), -worker.answered_at), default=None
-        )
+            return self._roomiest(now, candidates)
+        if any(worker.proven for worker in self.workers.values()):
+            # Worth waiting for: they have room again soon.
+            return self._least_recently_tried([worker for worker in candidates if worker.proven], tried)
+        if any(node not in tried for node in self.workers):
+            return self._roomiest(now, [worker for worker in candidates if worker.node not in tried])
+        return self._least_recently_tried(candidates, tried)
+
+    def _few_begin(self, now: float) -> bool:
+        """Whether another item may wait for its first event."""
+        for key in [k for k, since in self._starting.items() if now - since > STARTING_S]:
+            del self._starting[key]
+        return len(self._starting) < STARTING_PER_ENDPOINT * self._endpoints
 
     def _is_open(self, now: float, worker: Worker) -> bool:
         return worker.free(now, self._running(worker.node)) >= 1.0
 
-    def _open(self, now: float, workers: Iterable[Worker]) -> list[Worker]:
-        return [worker for worker in workers if self._is_open(now, worker)]
-
-    def _roomiest(self, now: float, workers: Iterable[Worker]) -> Worker | None:
+    def _roomiest(self, now: float, workers: list[Worker]) -> Worker | None:
         def room(worker: Worker) -> float:
             return worker.free(now, self._running(worker.node))
 
-        return max(self._open(now, workers), key=room, default=None)
+        return max(workers, key=room, default=None)
+
+    @staticmethod
+    def _least_recently_tried(workers: list[Worker], tried: dict[str, float]) -> Worker | None:
+        """Where the item has never been, or was longest ago; of those the one that was answered last."""
+        return min(
+            workers, key=lambda worker: (tried.get(worker.node, NEVER), -worker.answered_at), default=None
+        )
 
     # --- what becomes of items ---
 
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
@@ -50,12 +51,14 @@
 # An item that has not moved for so long is given back. Danger: an endpoint whose machine has lost its power
 # says nothing, and would hold the item for the time above.
 ITEM_SILENCE_S = 4.0
-# So is one that no endpoint has taken for so long: the decisions hold a call for a part of its objective.
+# So is one that no endpoint has taken for so long, or for its objective, if that is more: the decisions hold
+# a call for a part of it.
 QUEUE_SILENCE_S = 2.0
-# So are those that have not begun, once no endpoint has said anything to this sidecar at so many looks in a
-# row: it reaches none, and others may. Twice as many for each sidecar that gave the item back before: where
-# endpoints are slow everywhere, one has to wait. Looks, not seconds: one that was frozen has answers to read.
-STILL_LOOKS = 4
+# So are those that have not begun, once no endpoint has said anything to this sidecar for so many objectives,
+# at so many looks in a row: it reaches none, and others may. For twice as long with each sidecar that gave the
+# item back before: where endpoints are slow everywhere, one has to wait. Looks, not seconds: a process that
+# was frozen has answers to read.
+STILL_OBJECTIVES, LEAST_STILL_LOOKS, MOST_STILL_LOOKS = 2.0, 4, int(ITEM_SILENCE_S / TEND_S)
 
 
 log = logging.getLogger("items")
@@ -80,7 +83,7 @@
         self._started = False
         self.moved_at = runner.now()
         self._still_looks = 0  # in a row, at which endpoints had said nothing to this sidecar
-        self._still_bound = STILL_LOOKS << order.tries
+        self._tries = order.tries
         self.call: Call | None = None
         self.admission: Admission | None = None
 
@@ -121,7 +124,19 @@
         `still`: endpoints have said nothing to this sidecar since the look before.
         """
         self._still_looks = self._still_looks + 1 if still else 0
-        return not self._started and self._still_looks > self._still_bound
+        return not self._started and self._still_looks > self._most_still_looks()
+
+    def _objective_s(self) -> float:
+        return self.call.route.slo_ms / 1000 if self.call is not None else 0.0
+
+    def _most_still_looks(self) -> int:
+        first = max(LEAST_STILL_LOOKS, math.ceil(STILL_OBJECTIVES * self._objective_s() / TEND_S))
+        return min(first << self._tries, MOST_STILL_LOOKS)
+
+    @property
+    def queue_bound_s(self) -> float:
+        """How long it may wait until an endpoint takes it."""
+        return min(max(QUEUE_SILENCE_S, self._objective_s()), ITEM_SILENCE_S)
 
     @property
     def at_endpoint(self) -> bool:
@@ -311,7 +326,7 @@
             return ReturnReason.STUCK
         if item.at_endpoint or item.begun:
             return ReturnReason.SILENT if idle_s >= ITEM_SILENCE_S else None
-        return ReturnReason.STUCK if idle_s >= QUEUE_SILENCE_S else None
+        return ReturnReason.STUCK if idle_s >= item.queue_bound_s else None
 
     # --- items ---
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -23,6 +23,7 @@
 )
 from eiderhub.batch.progress import ProgressWatch
 from eiderhub.control.distribution import Tables
+from eiderhub.control.freshness import FRESH_S
 from eiderhub.control.messages import LeaseRequest, NodeRecord, SessionPing, StorageReport
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.store import NOWHERE
@@ -67,6 +68,7 @@
         self._sessions: dict[Connection, Session] = {}
         self._connections: dict[Session, Connection] = {}
         self._epoch = 0
+        self._led_since = 0.0
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
             node, self.tables, self._candidates, self._on_tables, self._describe, self._spending.answered
@@ -197,6 +199,7 @@
         replica = self.group.replica
         if replica.epoch != self._epoch and self.group.leads():
             self._epoch = replica.epoch
+            self._led_since = self._now()
             self._dispatch.begin(self._now(), replica.epoch)
             self._calls.begin(replica.epoch)
             log.info("leads epoch %d with %d jobs", replica.epoch, len(self._jobs.jobs))
@@ -300,8 +303,13 @@
     # --- dead letters ---
 
     def _known_routes(self) -> set[str] | None:
-        """The routes in force; None: this node can't be sure of them."""
-        if self._routes is None or not self._session.fresh():
+        """The routes in force; None: this node can't be sure of them.
+
+        Danger: an earlier primary may have taken a job for a route that is new, and not known here yet. What
+        is fresh now was current after this node began to lead, once it has led for longer than that.
+        """
+        led_long = self._now() - self._led_since > FRESH_S
+        if self._routes is None or not led_long or not self._session.fresh():
             return None
         return set(self._routes.by_name)
 
