--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -55,9 +55,9 @@
 # a call for a part of it.
 QUEUE_SILENCE_S = 2.0
 # So are those that have not begun, once no endpoint has said anything to this sidecar for so many objectives,
-# at so many looks in a row: it reaches none, and others may. For twice as long with each sidecar that gave the
-# item back before: where endpoints are slow everywhere, one has to wait. Looks, not seconds: a process that
-# was frozen has answers to read.
+# at so many looks in a row: it reaches none, and others may. For twice as long with each sidecar that gave
+# the item back before: where endpoints are slow everywhere, one has to wait. Looks, not seconds: a process
+# that was frozen has answers to read.
 STILL_OBJECTIVES, LEAST_STILL_LOOKS, MOST_STILL_LOOKS = 2.0, 4, int(ITEM_SILENCE_S / TEND_S)
 
 
