--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -10,15 +10,22 @@
 import asyncio
 from collections.abc import Callable
 from pathlib import Path
+from unittest import mock
 
 import pytest
 
 from eiderhub.batch.jobs import FIRST_RESULT_BYTES
+from eiderhub.batch.messages import ItemKey, RunItem
 from eiderhub.batch.scheduler import LEAST_WINDOW
 from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.control.freshness import FRESH_S
 from eiderhub.coordination.messages import Write
+from eiderhub.dataplane.admission import Call
+from eiderhub.dataplane.items import ItemRunner, RunningItem
+from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.storage_service import SPACE_SHARE
-from tests.items_support import BOUND_S, Bench, Sidecar, bench, listed, until
+from tests.items_support import BOUND_S, ROUTE, Bench, Sidecar, bench, listed, until
+from tests.tier_support import document
 
 RETURN_S = 0.8  # a sidecar that has gone has so long to come back
 
@@ -273,3 +280,41 @@
             assert await sidecar.submit("next", "e") == 202
 
     asyncio.run(test())
+
+
+def test_routes_are_judged_once_what_is_known_is_newer_than_the_epoch(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A job may have been taken for a route that the last primary knew, and this one does not know yet."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            service = made.storage.service
+            monkeypatch.setattr(service._session, "fresh", lambda: True)
+            service._led_since = service._now()
+            assert service._known_routes() is None
+            service._led_since -= FRESH_S + 0.001
+            assert service._known_routes() == {"live", "lots"}
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("objective_ms", "tries", "queue_s", "looks"),
+    [(100, 0, 2.0, 4), (616, 0, 2.0, 5), (616, 1, 2.0, 10), (616, 5, 2.0, 16), (3_000, 0, 3.0, 16)],
+)
+def test_bounds_of_an_item_follow_its_objective(
+    objective_ms: int, tries: int, queue_s: float, looks: int
+) -> None:
+    made = document(1)
+    made["routes"][1]["slo_ms"] = objective_ms
+    route = RouteTable(1, made).by_name[ROUTE]
+    order = RunItem(ItemKey("job", "a"), ROUTE, "/", {}, b"", 0, None, tries)
+    runner = mock.Mock(spec=ItemRunner)
+    runner.now.return_value = 0.0
+    item = RunningItem(runner, order)
+    item.call = Call("a", route, b"a", (b"", b""), 0, "t", (0, 0), item)
+    assert item.queue_bound_s == queue_s
+    assert [item.looked_at(still=True) for _ in range(looks + 1)] == [False] * looks + [True]
+    assert not item.looked_at(still=False)
+    assert not item.looked_at(still=True)
