Plant two faults in the items' model: placement that learns nothing

Cause: the model's new check had no planted fault. Change: a placement by room alone with windows that never fall, and returns whose reasons say nothing. Room alone is not found, since the window of a stuck sidecar stands behind it: left out.

--- a/tests/test_items_model.py
+++ b/tests/test_items_model.py
@@ -17,7 +17,8 @@
 
 from eiderhub.batch.dispatch import Dispatcher
 from eiderhub.batch.ledger import ItemLedger
-from eiderhub.batch.messages import ItemFinished, ItemReturned, WorkerReport
+from eiderhub.batch.messages import ItemFinished, ItemReturned, ReturnReason, WorkerReport
+from eiderhub.batch.scheduler import Scheduler, Worker
 from tests.model.items import Broken, StorageGroup, World
 
 COUNT = int(os.environ.get("OTTERCLEAT_ITEM_SCHEDULES", "1000"))
@@ -65,6 +66,7 @@
 class Fault(NamedTuple):
     name: str
     patches: tuple[tuple[Any, str, Any], ...]
+    standstills: bool = False
 
 
 def _change_before_the_look(self: StorageGroup, change: Callable[[], Any], done: Callable[[], None]) -> None:
@@ -120,6 +122,15 @@
     """Sidecars that have gone keep their items."""
 
 
+def _take_the_roomiest(self: Scheduler, now: float, key: Any) -> Any:
+    return self._roomiest(now, [worker for worker in self.workers.values() if self._is_open(now, worker)])
+
+
+def _every_return_is_a_refusal(self: Scheduler, now: float, node: str, key: Any, reason: Any) -> None:
+    RETURNED(self, now, node, key, ReturnReason.REFUSED)
+
+
+RETURNED = Scheduler.returned
 COMPARE = Dispatcher._compare
 
 FAULTS = [
@@ -141,6 +152,12 @@
         "an ended job's items go on, and nothing is compared",
         ((Dispatcher, "cancel_job", _cancel_nothing), (Dispatcher, "report", _compare_nothing)),
     ),
+    Fault(
+        "placement looks at room alone, and a sidecar that is stuck keeps its window",
+        ((Scheduler, "choose", _take_the_roomiest), (Worker, "stuck", lambda self, now: None)),
+        standstills=True,
+    ),
+    Fault("a return says nothing", ((Scheduler, "returned", _every_return_is_a_refusal),), standstills=True),
 ]
 
 
@@ -151,7 +168,7 @@
             planted.enter_context(mock.patch.object(target, name, value))
         for seed in range(MOST_SEEDS):
             try:
-                World(seed).play()
+                World(seed, fault.standstills).play()
             except (Broken, KeyError):
                 return seed
     return None
