Leave a sidecar alone that gives items back since it stops

STOPPING moved neither window nor pause (a refusal did before), so that a stopping sidecar had the most room and got items again.

--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -202,7 +202,7 @@
         worker = self.workers.get(node)
         if worker is None:
             return
-        if reason is ReturnReason.STUCK:
+        if reason in (ReturnReason.STUCK, ReturnReason.STOPPING):
             worker.stuck(now)
         elif reason in (ReturnReason.REFUSED, ReturnReason.SILENT):
             worker.refused(now)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -191,3 +191,12 @@
         assert made.tries(key(99)) == 1
         end()
         assert made.tries(key(99)) == 0
+
+
+def test_sidecar_that_stops_is_left_alone() -> None:
+    """It has the most room from then on, and would give each item back at once."""
+    made = scheduler("a", "b")
+    made.workers["a"].window = 64.0
+    returned(made, 1.0, "a", ReturnReason.STOPPING)
+    assert made.choose(1.0, key(0)) is made.workers["b"]
+    assert made.workers["a"].window == LEAST_WINDOW
