--- a/eiderhub/sidecar/discovery.py
+++ b/eiderhub/sidecar/discovery.py
@@ -20,6 +20,10 @@
 # it waits for half the time after which we would count as told had we not asked, and part of that at random.
 WAIT_SHARE = 0.5
 WAIT_FROM = 0.8  # at least this part: the watches of a fleet that starts at once must not come back in step
+# Danger: after a silence, a call that waits as long as usual may fall into it again and not show it. Until
+# one is answered they wait for no more than this where lists are pushed: what they missed is told within 6 s
+# of its end. Where they are asked for, a call that is given up sooner loses its turn at a busy discovery.
+SUSPECT_WAIT_MS = 2_500
 PATIENCE_S = 1.0  # an answer may be late by so much: what it had to tell counts as told a second later
 GAP_S = 0.75  # a list that has begun may stand still for so long
 MOST_LIST_S = 3.5  # and take so long as a whole: another call must still be in time
@@ -202,12 +206,14 @@
 class Watch:
     """A watch at one address: its connection, and the call that is out. Once closed it hears nothing more."""
 
-    def __init__(self, host: str, port: int, wait_ms: int) -> None:
+    def __init__(self, host: str, port: int, wait_ms: int, suspect_wait_ms: int) -> None:
         self.host = host
         self.port = port
         self.wait_ms = wait_ms
+        self.suspect_wait_ms = suspect_wait_ms  # after a call that fell silent
         self._connection: Connection | None = None
         self._call: Call | None = None
+        self._suspect = False  # the latest call fell silent
 
     async def ask(self, generation: int | None, at_once: bool = False) -> Listing:
         """The changes since then, or the whole list; a call that says nothing is repeated once.
@@ -233,13 +239,19 @@
         kept = self._connection is not None and not self._connection.lost
         if self._connection is None or self._connection.lost:
             self._connection = await self._connect()
-        wait_ms = int(self.wait_ms * random.uniform(WAIT_FROM, 1.0))
+        longest_ms = self.suspect_wait_ms if self._suspect else self.wait_ms
+        wait_ms = int(longest_ms * random.uniform(WAIT_FROM, 1.0))
         query = "" if generation is None else f"?after={generation}&wait_ms={0 if at_once else wait_ms}"
         patience_s = PATIENCE_S + (wait_ms / 1000 if query else 0.0)
         call = self._call = Call(self._connection, patience_s, kept)
         head = f"GET /discovery/hosts{query} HTTP/1.1\r\nHost: {self.host}:{self.port}\r\n\r\n"
         self._connection.send(head.encode())
-        response = await call.wait()
+        try:
+            response = await call.wait()
+        except TimeoutError:
+            self._suspect = True
+            raise
+        self._suspect = False
         if response.status != 200:
             raise Busy(f"answered {response.status}")
         listing = read_listing(response.body)
@@ -299,7 +311,8 @@
 
     def turn(self, on: bool) -> None:
         if on and self._task is None:
-            self._watch = Watch(self.host, self.port, self.wait_ms)
+            suspect_wait_ms = SUSPECT_WAIT_MS if self.persist else self.wait_ms
+            self._watch = Watch(self.host, self.port, self.wait_ms, suspect_wait_ms)
             self._task = asyncio.get_running_loop().create_task(self._run(self._watch))
         elif not on and self._task is not None:
             self._task.cancel()
