--- a/tests/model/placement.py
+++ b/tests/model/placement.py
@@ -49,9 +49,9 @@
 STILL_S, QUEUE_SILENCE_S, SILENT_ATTEMPT_S = 1.25, 2.25, 4.25
 THREE_CONNECTS_S = 0.9
 SILENT_FOR_S = 2.0  # kept connections to endpoints that have gone dark are used for so long
-# The bound: from the moment at which a sidecar reaches endpoints, and all that was sent into the dark has come
-# back, each open lot has an item at an endpoint at least every so many seconds while these are under half
-# full; and so much later nine tenths of what fits are done.
+# The bound: from the moment at which a sidecar reaches endpoints, and all that was sent into the dark has
+# come back, each open lot has an item at an endpoint at least every so many seconds while these are under
+# half full; and so much later nine tenths of what fits are done.
 SERVED_S, DONE_S, DONE_SHARE = 2.0, 10.0, 0.9
 FULL_SHARE = 0.5
 USED_SHARE = 0.5  # of the room of sidecars that reach endpoints, in what "fits" within DONE_S
@@ -435,8 +435,8 @@
             since = max(well_from, self._accepted[lot], self._served.get(lot, 0.0))
             if now - since > SERVED_S:
                 raise Broken(
-                    f"{self.seed}: {lot} has had nothing at an endpoint for {now - since:.1f} s at {now:.1f} s, "
-                    f"these are {self.filled():.2f} full, well since {well_from:.1f} s"
+                    f"{self.seed}: {lot} has had nothing at an endpoint for {now - since:.1f} s "
+                    f"at {now:.1f} s; these are {self.filled():.2f} full, well since {well_from:.1f} s"
                 )
 
 
@@ -464,7 +464,8 @@
     """A plan, drawn from its seed alone."""
     rng = random.Random(seed)
     count = rng.choices(SIZES, [4, 3, 1])[0]
-    dark_from, dark_s = rng.uniform(0.0, 4.0), rng.choice([0.0, rng.uniform(0.5, 4.0), rng.uniform(8.0, 20.0)])
+    dark_from = rng.uniform(0.0, 4.0)
+    dark_s = rng.choice([0.0, rng.uniform(0.5, 4.0), rng.uniform(8.0, 20.0)])
     ends = _ends(rng, count, dark_from + dark_s)
     live = rng.choice([0.0, rng.uniform(2.0, 30.0)])
     refuse_share = rng.choice([0.0, rng.random()])
@@ -494,6 +495,4 @@
     )
     primaries = tuple(rng.uniform(0.0, dark_from + dark_s) for _ in range(rng.choice([0, 0, 1, 3])))
     places = max(16, count * rng.choice([4, 12]))
-    return Plan(
-        tuple(sidecars), lots, places, max(2, places // 16), rng.choice([0.0, 0.3]), primaries
-    )
+    return Plan(tuple(sidecars), lots, places, max(2, places // 16), rng.choice([0.0, 0.3]), primaries)
