--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -181,6 +181,7 @@
         """An item's first event has come."""
         item = self.table.find(key)
         if item is not None and item.node == session.node:
+            item.job.begun += 1
             self.scheduler.started(now, session.node, key)
 
     def finish(self, now: float, session: Session, message: ItemFinished) -> list[Write]:
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -122,6 +122,7 @@
         self.items = {each.id: Item(self, each) for each in record.items}
         self.positions = 0  # given out
         self.visible = 0  # committed
+        self.begun = 0  # first events of its items that this primary has been told of
         self.committed = False
 
     @property
--- a/eiderhub/batch/progress.py
+++ b/eiderhub/batch/progress.py
@@ -12,6 +12,7 @@
 from eiderhub.batch.messages import ItemKey
 
 STUCK_S = 4.0  # an item that has been at one sidecar for so long is named
+IDLE_LOT_S = 2.0  # a job none of whose items has begun or ended for so long is named
 MOST_NAMED = 20  # items and jobs in one report
 
 
@@ -32,16 +33,28 @@
     since: float
 
 
+class IdleLot(NamedTuple):
+    """A job with items to run, none of which has begun or ended for a while."""
+
+    job: str
+    moves: int  # first events and results, at the last look
+    since: float
+    late: bool  # its results were due before the last look
+
+
 class ProgressWatch:
     """Looks at the table now and then, and remembers since when nothing has moved."""
 
     def __init__(self) -> None:
         self._running: dict[ItemKey, RunningAt] = {}
         self._uncommitted: dict[str, Uncommitted] = {}
+        self._lots: dict[str, IdleLot] = {}
         self.waiting = 0
         self.out_of_attempts = 0  # of those that wait: they are to be listed as dead letters
 
-    def look(self, now: float, table: JobTable) -> None:
+    def look(self, now: float, wall: float, table: JobTable) -> None:
+        """`wall`: the time of day, by which jobs are due."""
+        self._look_at_lots(now, wall, table)
         running: dict[ItemKey, RunningAt] = {}
         uncommitted: dict[str, Uncommitted] = {}
         waiting = out_of_attempts = 0
@@ -64,6 +77,20 @@
         self._running, self._uncommitted, self.waiting = running, uncommitted, waiting
         self.out_of_attempts = out_of_attempts
 
+    def _look_at_lots(self, now: float, wall: float, table: JobTable) -> None:
+        lots: dict[str, IdleLot] = {}
+        for job in table.open_jobs():
+            name, moves = job.record.id, job.begun + job.positions
+            known = self._lots.get(name)
+            since = known.since if known is not None and known.moves == moves else now
+            lots[name] = IdleLot(name, moves, since, wall > job.due_at)
+        self._lots = lots
+
+    def idle_lots(self, now: float) -> list[IdleLot]:
+        """Jobs in which nothing has moved for too long, the longest first."""
+        idle = [lot for lot in self._lots.values() if now - lot.since >= IDLE_LOT_S]
+        return sorted(idle, key=lambda lot: lot.since)
+
     def stuck(self, now: float) -> list[RunningAt]:
         """Items that have been at one sidecar for too long, the oldest first."""
         old = [item for item in self._running.values() if now - item.since >= STUCK_S]
@@ -75,8 +102,14 @@
 
     def summary(self, now: float) -> str:
         """What is stuck, in one line; empty where nothing is."""
-        stuck, unlisted = self.stuck(now), self.unlisted(now)
+        stuck, unlisted, idle = self.stuck(now), self.unlisted(now), self.idle_lots(now)
         parts = []
+        if idle:
+            late = sum(lot.late for lot in idle)
+            parts.append(
+                f"jobs without a move: {len(idle)}, {late} of them late; longest {idle[0].job} "
+                f"for {now - idle[0].since:.1f} s; {self.waiting} items wait"
+            )
         if stuck:
             nodes = Counter(item.node for item in stuck)
             at = ", ".join(f"{count} at {node}" for node, count in nodes.most_common(3))
@@ -94,7 +127,7 @@
         """The same as figures, one a line."""
         nodes = Counter(item.node for item in self._running.values())
         lines = [f"items_waiting {self.waiting}", f"items_out_of_attempts {self.out_of_attempts}"]
-        lines += [f"items_running {len(self._running)}"]
+        lines += [f"items_running {len(self._running)}", f"jobs_idle {len(self.idle_lots(now))}"]
         lines += [f'items_running_at{{node="{node}"}} {count}' for node, count in sorted(nodes.items())]
         lines += [
             f'item_held_s{{job="{item.key.job}",item="{item.key.item}",node="{item.node}"}} '
@@ -105,4 +138,8 @@
             f'results_uncommitted{{job="{job.job}"}} {job.positions - job.visible}'
             for job in self.unlisted(now)[:MOST_NAMED]
         ]
+        lines += [
+            f'job_idle_s{{job="{lot.job}",late="{lot.late:d}"}} {now - lot.since:.1f}'
+            for lot in self.idle_lots(now)[:MOST_NAMED]
+        ]
         return lines
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -12,7 +12,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
+from typing import NamedTuple
 
 from eiderhub.batch.messages import ItemKey, ReturnReason
 
@@ -69,6 +71,23 @@
             self.paused_until = now + pause_s
 
 
+class Placement(NamedTuple):
+    """What sidecars there are for items; for logs and figures."""
+
+    sidecars: int
+    paused: int  # given nothing for a while
+    full: int  # that run as many items as their windows allow
+    stuck: int  # that no endpoint has answered since they last were stuck
+    returns: dict[ReturnReason, int]  # items that were given back, in this epoch
+
+    def __str__(self) -> str:
+        returns = ", ".join(f"{reason.value} {count}" for reason, count in self.returns.items())
+        return (
+            f"{self.sidecars} sidecars, {self.paused} paused, {self.full} full, {self.stuck} stuck; "
+            f"given back: {returns or 'none'}"
+        )
+
+
 class Scheduler:
     """`running` tells how many items a node is taken to run."""
 
@@ -79,6 +98,7 @@
         self._given: dict[ItemKey, float] = {}
         # Where each has failed to move since it last moved, and when.
         self._tried: dict[ItemKey, dict[str, float]] = {}
+        self._returns: Counter[ReturnReason] = Counter()
         self.run_s = FIRST_RUN_S  # that an item takes, on the mean of late
         self._endpoints = 1
         self._places = 0
@@ -97,6 +117,18 @@
         self._starting.clear()
         self._given.clear()
         self._tried.clear()
+        self._returns.clear()
+
+    def placement(self, now: float) -> Placement:
+        """What sidecars there are, and what they have given back."""
+        workers = self.workers.values()
+        return Placement(
+            sidecars=len(workers),
+            paused=sum(now < worker.paused_until for worker in workers),
+            full=sum(worker.window - self._running(worker.node) < 1.0 for worker in workers),
+            stuck=sum(worker.stuck_at > worker.answered_at for worker in workers),
+            returns=dict(self._returns),
+        )
 
     def join(self, node: str, zone: str) -> None:
         self.workers[node] = Worker(node, zone, self._first_window())
@@ -197,6 +229,7 @@
     def returned(self, now: float, node: str, key: ItemKey, reason: ReturnReason) -> None:
         """The node has given the item back."""
         self.released(key)
+        self._returns[reason] += 1
         if reason in (ReturnReason.SILENT, ReturnReason.STUCK, ReturnReason.FAILED):
             self._tried.setdefault(key, {})[node] = now
         worker = self.workers.get(node)
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -271,11 +271,11 @@
         if now < self._next_progress:
             return
         self._next_progress = now + PROGRESS_S
-        self._progress.look(now, self._jobs)
+        self._progress.look(now, time.time(), self._jobs)
         summary = self._progress.summary(now)
         if summary and now >= self._next_stuck_log:
             self._next_stuck_log = now + STUCK_LOG_S
-            log.warning("%s", summary)
+            log.warning("%s; %s", summary, self._dispatch.scheduler.placement(now))
 
     def metrics(self) -> list[str]:
         """The figures of this node, one a line."""
@@ -291,6 +291,13 @@
         if not self.group.leads():
             return lines
         lines += [f"jobs {len(self._jobs.jobs)}", f"sessions {len(self._connections)}"]
+        placement = self._dispatch.scheduler.placement(self._now())
+        lines += [
+            f"sidecars_paused {placement.paused}",
+            f"sidecars_full {placement.full}",
+            f"sidecars_stuck {placement.stuck}",
+        ]
+        lines += [f'items_returned{{reason="{r.value}"}} {n}' for r, n in placement.returns.items()]
         for worker in self._dispatch.scheduler.workers.values():
             lines.append(f'window{{node="{worker.node}"}} {worker.window:.1f}')
         return lines + self._progress.lines(self._now())
