Place items by evidence: standing, one item until one moves, idle jobs first, probes where nothing moves

Cause: placement counted in time and in room. Change: workers.py holds a sidecar's standing by what came last (moved, answered, unknown, returned, stuck); one that is not tested gets one item beside those that have begun; any sign that endpoints answer ends a pause; a sidecar that moves items after long gets its window back; refusals count for the item, unknown routes for the sidecar until its configuration changes; a job that moves nowhere goes to sidecars that move or are answered, one that is safe to any; idle jobs have one item given first, late ones for a quarter of the starts while others are in time; sidecars tell their reach and what has begun as a session opens, and are asked to probe by a connection while a job moves nowhere.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from itertools import islice
 from typing import NamedTuple
 
 from eiderhub.batch.jobs import Item, ItemState, JobTable
@@ -20,15 +21,20 @@
     ItemKey,
     ItemReturned,
     ItemStored,
+    ProbeEndpoints,
     WorkerAccepted,
     WorkerOpen,
     WorkerReport,
     WorkerReported,
 )
-from eiderhub.batch.scheduler import Scheduler
+from eiderhub.batch.scheduler import Round, Scheduler
+from eiderhub.batch.turns import LateStarts, Turns, is_safe
+from eiderhub.batch.workers import Standing
 from eiderhub.coordination.messages import Write
 
-MOST_PASSED_OVER = 32  # items that wait for other sidecars than those with room, before a round is over
+# While a job moves nowhere, sidecars that endpoints are not known to have answered lately are asked so often
+# to find out. Lately is longer than the time between two reports.
+PROBE_S, ANSWERED_LATELY_S = 0.5, 1.25
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 
 
@@ -75,6 +81,8 @@
         self._gone: dict[str, float] = {}  # nodes without a session, and when their items are taken back
         self._epoch = 0
         self._give_from = 0.0
+        self._late_starts = LateStarts()
+        self._next_probes = 0.0
 
     def begin(self, now: float, epoch: int) -> None:
         """Lead a new epoch: the table is what the store holds, and sidecars say what they hold."""
@@ -95,7 +103,7 @@
         self._sessions[message.node] = session
         self._gone.pop(message.node, None)
         self._send(session, WorkerAccepted(self._epoch))
-        self.scheduler.join(message.node, message.zone)
+        self.scheduler.join(now, message.node, message.zone, message.reach)
         for item in self.table.running_at(message.node):
             item.order = 0  # of an earlier session
         self._compare(session, 0, message.running)
@@ -118,6 +126,7 @@
         session.heard_at = now
         if message.answered:
             self.scheduler.answered(now, session.node)
+        self.scheduler.routes_by(session.node, message.generation)
         self._compare(session, message.received, message.held)
         self._send(session, WorkerReported())
 
@@ -142,6 +151,18 @@
         for node in [node for node, until in self._gone.items() if now >= until]:
             del self._gone[node]
             self._take_back(node, Why.GONE, self.table.running_at(node))
+        if now >= self._next_probes:
+            self._next_probes = now + PROBE_S
+            self._ask_for_probes(now)
+
+    def _ask_for_probes(self, now: float) -> None:
+        """Where a job moves nowhere, have sidecars find out whether they reach endpoints."""
+        moving = self.scheduler.moving()
+        if all(is_safe(now, job, self.table.jobs_at(moving)) for job in self.table.open_jobs()):
+            return
+        for session in self._sessions.values():
+            if not self.scheduler.was_answered(session.node, now - ANSWERED_LATELY_S):
+                self._send(session, ProbeEndpoints())
 
     def _take_back(self, node: str, why: Why, items: list[Item]) -> None:
         for item in items:
@@ -159,29 +180,45 @@
         """Have as many items run as there is room for."""
         if now < self._give_from:
             return
-        passed_over = 0
-        for job in self.table.in_order(wall, self.scheduler.run_s):
-            for item in list(job.waiting()):
-                if item.errors >= job.record.max_attempts:
-                    continue
-                worker = self.scheduler.choose(now, item.key)
-                if worker is None:
-                    passed_over += 1
-                    if passed_over > MOST_PASSED_OVER or not self.scheduler.has_room(now):
-                        return
-                    continue
-                session = self._sessions[worker.node]
-                tries = self.scheduler.tries(item.key)
-                order = self.table.start(wall, item, worker.node, session.orders + 1, tries)
-                session.orders += 1
-                self.scheduler.given(now, item.key)
-                self._send(session, order)
+        round_ = self.scheduler.round(now)
+        if not round_.has_room:
+            return
+        turns = Turns(now, wall, self.scheduler.run_s, self.table, self.scheduler.moving())
+        for job in turns.idle(self._late_starts):
+            for item in islice(job.runnable(), 1):
+                if self._give(now, wall, item, round_, turns):
+                    self._late_starts.started(ahead=turns.is_ahead(job))
+        for job in turns.in_order():
+            for item in list(job.runnable()):
+                if not self._give(now, wall, item, round_, turns):
+                    break
+                self._late_starts.started(ahead=False)
+            if not round_.has_room:
+                return
+
+    def _give(self, now: float, wall: float, item: Item, round_: Round, turns: Turns) -> bool:
+        """Give an item out, if there is a sidecar for it."""
+        failures = self.scheduler.failures(item.key)
+        worker = round_.choose(item.job.record.route, failures, turns.is_safe(item.job))
+        if worker is None:
+            return False
+        session = self._sessions[worker.node]
+        tries = self.scheduler.tries(item.key)
+        order = self.table.start(wall, item, worker.node, session.orders + 1, tries)
+        session.orders += 1
+        round_.given(worker)
+        if worker.standing is Standing.MOVING:
+            turns.note_moving(item.job)
+        self.scheduler.given(now, item.key, worker)
+        self._send(session, order)
+        return True
 
     def started(self, now: float, session: Session, key: ItemKey) -> None:
         """An item's first event has come."""
         item = self.table.find(key)
         if item is not None and item.node == session.node:
             item.job.begun += 1
+            item.job.moved_at = now
             self.scheduler.started(now, session.node, key)
 
     def finish(self, now: float, session: Session, message: ItemFinished) -> list[Write]:
@@ -191,7 +228,8 @@
         if node == session.node:
             self.scheduler.finished(now, node, message.key)
         writes = self.table.finish(message.key, message.succeeded, message.text)
-        if writes:
+        if item is not None and writes:
+            item.job.moved_at = now
             self.scheduler.forget(message.key)
             if node not in ("", session.node):
                 self._cancel(node, message.key)
@@ -209,7 +247,8 @@
             return
         item = self.table.returned(session.node, message.key, message.errors, message.progress)
         if item is not None:
-            self.scheduler.returned(now, session.node, message.key, message.reason)
+            route = item.job.record.route
+            self.scheduler.returned(now, session.node, message.key, route, message.reason)
             if message.errors:
                 self.scheduler.answered(now, session.node)
 
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -123,6 +123,8 @@
         self.positions = 0  # given out
         self.visible = 0  # committed
         self.begun = 0  # first events of its items that this primary has been told of
+        self.moved_at = float("-inf")  # when an item of it last began or ended, on the primary's clock
+        self.waiting_count = len(record.items)
         self.committed = False
 
     @property
@@ -132,6 +134,10 @@
     def waiting(self) -> Iterator[Item]:
         return (item for item in self.items.values() if item.state is ItemState.WAITING)
 
+    def runnable(self) -> Iterator[Item]:
+        """Those of them that have attempts left."""
+        return (item for item in self.waiting() if item.errors < self.record.max_attempts)
+
 
 class Reader(Protocol):
     """Where bodies and results are read from."""
@@ -169,6 +175,7 @@
                 item = job.items[record.id]
                 item.state, item.position = ItemState.LISTED, job.positions
                 job.positions += 1
+                job.waiting_count -= 1
             job.visible = job.positions
             self._count(job)
 
@@ -186,6 +193,10 @@
         """The items that a node is taken to run."""
         return list(self._running.get(node, {}).values())
 
+    def jobs_at(self, nodes: Iterable[str]) -> set[str]:
+        """The jobs that have items there."""
+        return {key.job for node in nodes for key in self._running.get(node, ())}
+
     def load_of(self, node: str) -> int:
         """How many those are."""
         return len(self._running.get(node, {}))
@@ -200,6 +211,7 @@
             del held[item.key]
             if not held:
                 del self._running[item.node]
+        item.job.waiting_count += (state is ItemState.WAITING) - (item.state is ItemState.WAITING)
         item.state, item.node, item.order = state, node, order
         if node:
             self._running.setdefault(node, {})[item.key] = item
--- a/eiderhub/batch/ledger.py
+++ b/eiderhub/batch/ledger.py
@@ -16,10 +16,15 @@
     ItemFinished,
     ItemKey,
     ItemReturned,
+    ItemStarted,
+    Reach,
+    ReturnReason,
     WorkerOpen,
     WorkerReport,
 )
 
+# Ends that say nothing of the sidecar's way to endpoints.
+OF_THE_ITEM_ALONE = (ReturnReason.STOPPING, ReturnReason.UNKNOWN_ROUTE)
 TELL_AGAIN_S = 1.0  # a result that has not been stored by then is told again
 
 
@@ -33,9 +38,10 @@
 class _Held:
     """One item; `outcome` is its end, until the primary has taken it."""
 
-    __slots__ = ("outcome", "told_at")
+    __slots__ = ("begun", "outcome", "told_at")
 
     def __init__(self) -> None:
+        self.begun = False
         self.outcome: ItemFinished | ItemReturned | None = None
         self.told_at = 0.0
 
@@ -51,6 +57,9 @@
         self._heard_at = 0.0
         self._next_report = 0.0
         self._answered = False  # by endpoints, since the last report
+        self._reach = Reach.UNKNOWN
+        self._generation = 0  # of the configuration by which this sidecar routes
+        self._lacked_route = False  # an item was given back for want of its route, by that configuration
         self.accepted = False
 
     def __len__(self) -> int:
@@ -66,13 +75,13 @@
         """The first message of a new session."""
         self.accepted = False
         self._received = 0
-        return WorkerOpen(self._node, self._zone, self.keys)
+        return WorkerOpen(self._node, self._zone, self.keys, self._reach)
 
     def accept(self, now: float) -> list[BatchMessage]:
-        """The primary has taken the session: what ended meanwhile, and what is held now."""
+        """The primary has taken the session: what has begun, what ended meanwhile, and what is held now."""
         self.accepted = True
         self._heard_at = now
-        told: list[BatchMessage] = []
+        told: list[BatchMessage] = [ItemStarted(key) for key, held in self._held.items() if held.begun]
         for key in self.keys:
             told += self._tell(now, key)
         return [*told, self._report(now)]
@@ -88,6 +97,18 @@
     def endpoints_answered(self) -> None:
         """An endpoint has answered a call of this sidecar."""
         self._answered = True
+        self._reach = Reach.ANSWERED
+
+    def probed(self, now: float) -> list[BatchMessage]:
+        """An endpoint has answered a probe; what to send: the primary waits for it."""
+        self.endpoints_answered()
+        return [self._report(now)] if self.accepted else []
+
+    def routes_changed(self, now: float, generation: int) -> list[BatchMessage]:
+        """Another configuration is in force; what to send: who lacked a route may have it now."""
+        lacked, self._lacked_route = self._lacked_route, False
+        self._generation = generation
+        return [self._report(now)] if self.accepted and lacked else []
 
     def is_silent(self, now: float) -> bool:
         """Whether the primary has said nothing for so long that the session is to be ended."""
@@ -106,7 +127,7 @@
     def _report(self, now: float) -> WorkerReport:
         self._next_report = now + REPORT_S
         answered, self._answered = self._answered, False
-        return WorkerReport(self._received, self.keys, answered)
+        return WorkerReport(self._received, self.keys, answered, self._generation)
 
     # --- items ---
 
@@ -118,12 +139,24 @@
         self._held[key] = _Held()
         return Order.NEW
 
+    def began(self, key: ItemKey) -> list[BatchMessage]:
+        """The item's first event has come from an endpoint; what to send."""
+        held = self._held.get(key)
+        if held is None:
+            return []
+        held.begun = True
+        return [ItemStarted(key)] if self.accepted else []
+
     def ended(self, now: float, outcome: ItemFinished | ItemReturned) -> list[BatchMessage]:
         """The item has come to its end here; what to send."""
         held = self._held.get(outcome.key)
         if held is None:
             return []
         held.outcome = outcome
+        if isinstance(outcome, ItemReturned):
+            self._lacked_route |= outcome.reason is ReturnReason.UNKNOWN_ROUTE
+            if outcome.reason not in OF_THE_ITEM_ALONE:
+                self._reach = Reach.UNANSWERED
         return self._tell(now, outcome.key)
 
     def _tell(self, now: float, key: ItemKey) -> list[BatchMessage]:
--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -19,12 +19,21 @@
     item: str
 
 
+class Reach(Enum):
+    """What a sidecar knows of its own way to endpoints."""
+
+    UNKNOWN = "unknown"
+    ANSWERED = "answered"  # they have answered its latest calls
+    UNANSWERED = "unanswered"  # they have answered none since it gave an item back
+
+
 class WorkerOpen(Struct, tag=True, frozen=True):
     """An edge sidecar announces itself, and the items that it runs."""
 
     node: str
     zone: str
     running: list[ItemKey]
+    reach: Reach = Reach.UNKNOWN
 
 
 class WorkerAccepted(Struct, tag=True, frozen=True):
@@ -35,17 +44,23 @@
     """All items that the sidecar holds, once it has read so many of the session's `RunItem`s.
 
     `answered`: whether endpoints have answered any of its calls, live ones too, since the report before.
+    `generation`: of the configuration by which it routes.
     """
 
     received: int
     held: list[ItemKey]
     answered: bool = False
+    generation: int = 0
 
 
 class WorkerReported(Struct, tag=True, frozen=True):
     """The primary has compared a report with its table, and sent what differs before this."""
 
 
+class ProbeEndpoints(Struct, tag=True, frozen=True):
+    """Items wait for a sidecar that reaches endpoints: find out whether this one does, and report it."""
+
+
 class Redirect(Struct, tag=True, frozen=True):
     """Not the primary; `primary` is its identity where it is known."""
 
@@ -134,6 +149,7 @@
     FAILED = "failed"  # all attempts that were allowed have failed
     SILENT = "silent"  # its endpoint has said nothing for too long
     STUCK = "stuck"  # no endpoint has taken it, or nothing at all has moved at the sidecar
+    UNKNOWN_ROUTE = "unknown route"  # the sidecar's configuration does not have the item's route
     STOPPING = "stopping"  # the sidecar ends
 
 
@@ -147,7 +163,7 @@
 
 
 BatchMessage = (
-    WorkerOpen | WorkerAccepted | WorkerReport | WorkerReported | Redirect
+    WorkerOpen | WorkerAccepted | WorkerReport | WorkerReported | ProbeEndpoints | Redirect
     | Submit | ReadResults | ReadBody | EndJob | Answer
     | RunItem | CancelItem | ItemStarted | ItemFinished | ItemStored | ItemReturned
 )  # fmt: skip
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -1,13 +1,15 @@
 """Which sidecar gets an item, how many items each gets, and how many endpoints read prompts of items at once.
 
-Pure. It counts no items: how many a sidecar runs is the job table's to say. A sidecar's window grows with
-what it finishes and falls when it refuses: a refusal of its admission says that live traffic leaves no room
-there. Items that have not begun to answer are bounded over all: an endpoint that reads many prompts at once
-pauses every stream that it serves.
-
-Room says nothing of what a sidecar can reach: one that moves nothing has the most room. So a sidecar that
-gives items back unmoved gets single ones, ever later, until one moves there; and an item that failed to move
-goes next to a sidecar that endpoints have answered since it last was stuck, if there is one, in turn.
+Pure. It counts no items: how many a sidecar runs is the job table's to say. Items that have not begun to
+answer are bounded over all: an endpoint that reads many prompts at once pauses every stream that it serves.
+
+Room says nothing of what a sidecar can reach: one that moves nothing has the most room. So sidecars are taken
+by their standing first (workers.py). Two rules keep an item from being passed from one that moves nothing to
+the next, and the next from being forgotten:
+
+* A job none of whose items moves is given to the sidecars of the best standing alone, and waits for them.
+* A job that has an item at a sidecar that moves items may be given to any, so that those which are stuck are
+  tried again without a job that depends on it. Where all are stuck, each is tried all the time.
 """
 
 from __future__ import annotations
@@ -16,59 +18,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from eiderhub.batch.messages import ItemKey, ReturnReason
+from eiderhub.batch.messages import ItemKey, Reach, ReturnReason
+from eiderhub.batch.workers import MOST_WINDOW, NEVER, START_WINDOW, Standing, Worker
 
-START_WINDOW, LEAST_WINDOW, MOST_WINDOW = 6.0, 1.0, 64.0
-GROW = 0.5  # per item that was finished while the window was in use
-SHRINK = 0.7  # what a refusal leaves of the window
-PAUSE_S = 0.1  # a sidecar that refused is left alone for so long
-STUCK_PAUSE_S, MOST_STUCK_PAUSE_S = 1.0, 8.0  # one that is stuck; doubled each time, up to
 FIRST_RUN_S, RUN_WEIGHT = 1.5, 0.05  # what an item is taken to take at first; weight of the newest
 STARTING_PER_ENDPOINT = 1.0  # items that may wait for their first event, for each endpoint
 STARTING_S = 0.5  # an item that has not begun by then does not count any more
-NEVER = float("-inf")
-
-
-class Worker:
-    """One sidecar that runs items."""
-
-    def __init__(self, node: str, zone: str, window: float) -> None:
-        self.node = node
-        self.zone = zone
-        self.window = window
-        self.paused_until = 0.0
-        self.answered_at = NEVER  # when endpoints are known to have answered calls of its
-        self.stuck_at = NEVER  # when it last gave one back that it could not move
-        self._times_stuck = 0  # in a row, with nothing moved between
-
-    def free(self, now: float, running: int) -> float:
-        """How many more items it may be given."""
-        return self.window - running if now >= self.paused_until else 0.0
-
-    @property
-    def proven(self) -> bool:
-        """Whether endpoints have answered it since it last was stuck."""
-        return self.answered_at > self.stuck_at
-
-    def moved(self, now: float) -> None:
-        """An item has begun or ended there."""
-        self.answered_at = now
-        self._times_stuck = 0
-
-    def refused(self, now: float) -> None:
-        """Its admission had no room; items that are refused together are one sign."""
-        if now >= self.paused_until:
-            self.window = max(LEAST_WINDOW, self.window * SHRINK)
-            self.paused_until = now + PAUSE_S
-
-    def stuck(self, now: float) -> None:
-        """It could not move an item; items that come back together are one sign."""
-        self.stuck_at = now
-        if now >= self.paused_until:
-            pause_s = min(STUCK_PAUSE_S * 2**self._times_stuck, MOST_STUCK_PAUSE_S)
-            self._times_stuck += 1
-            self.window = LEAST_WINDOW
-            self.paused_until = now + pause_s
+MOST_REMEMBERED = 16  # sidecars at which an item has failed, the latest
 
 
 class Placement(NamedTuple):
@@ -88,6 +44,94 @@
         )
 
 
+class Failure(NamedTuple):
+    """How often a sidecar has given an item back since that last moved, and when it last did."""
+
+    times: int
+    at: float
+
+
+NO_FAILURE = Failure(0, NEVER)
+
+
+class _Failures:
+    """Where an item has been given back since it last moved."""
+
+    __slots__ = ("by_node", "unmoved")
+
+    def __init__(self) -> None:
+        self.by_node: dict[str, Failure] = {}  # the latest last
+        self.unmoved = 0  # times that it was not just refused
+
+    def add(self, now: float, node: str, refused: bool) -> None:
+        before = self.by_node.pop(node, NO_FAILURE)
+        self.by_node[node] = Failure(before.times + 1, now)
+        self.unmoved += not refused
+        if len(self.by_node) > MOST_REMEMBERED:
+            del self.by_node[next(iter(self.by_node))]
+
+
+class Round:
+    """The sidecars with room, for one round of giving items out.
+
+    `some_move`: whether items move at any sidecar, those without room included. `starts`: how many more items
+    may wait for their first event.
+    """
+
+    def __init__(self, now: float, room: dict[Worker, float], some_move: bool, starts: float) -> None:
+        self._now = now
+        self._room = room
+        self._worst = Standing.ANSWERED if some_move else Standing.STUCK  # that a job may depend on
+        self._starts = starts
+
+    @property
+    def has_room(self) -> bool:
+        """Whether any item may still be given out."""
+        return bool(self._room)
+
+    def choose(self, route: str, failures: dict[str, Failure], safe: bool) -> Worker | None:
+        """The sidecar that is to run an item; None: it waits.
+
+        `failures`: where it was given back. `safe`: another of its job's items moves. Each time that a
+        sidecar has given the item back counts as much as a standing that is lower by one.
+        """
+        allowed = [
+            worker
+            for worker in self._room
+            if (safe or worker.standing <= self._worst)
+            and (self._starts > 0 or not worker.is_tested(self._now))
+            and worker.knows(route)
+        ]
+
+        def rank(worker: Worker) -> tuple[bool, int, float, float]:
+            standing = worker.standing
+            times, at = failures.get(worker.node, NO_FAILURE)
+            if worker.moved_at > at:
+                times = max(0, times - 1)  # others have moved there since
+            return standing is Standing.STUCK, standing + times, at, self._last_rank(worker, safe)
+
+        return min(allowed, key=rank, default=None)
+
+    def _last_rank(self, worker: Worker, safe: bool) -> float:
+        """Among sidecars of one standing.
+
+        Of those that move items the one with the most room, or the one that last moved one where a job
+        depends on it; of those that endpoints answer the one that was answered last; of the others the one
+        that gave something back longest ago.
+        """
+        if worker.standing is Standing.MOVING:
+            return -self._room[worker] if safe else -worker.moved_at
+        return -worker.answered_at if worker.standing is Standing.ANSWERED else worker.returned_at
+
+    def given(self, worker: Worker) -> None:
+        """One more item runs there."""
+        if worker.is_tested(self._now):
+            self._starts -= 1
+        self._room[worker] -= 1.0
+        if self._room[worker] < 1.0:
+            del self._room[worker]
+
+
 class Scheduler:
     """`running` tells how many items a node is taken to run."""
 
@@ -96,8 +140,8 @@
         self.workers: dict[str, Worker] = {}
         self._starting: dict[ItemKey, float] = {}  # when each was given
         self._given: dict[ItemKey, float] = {}
-        # Where each has failed to move since it last moved, and when.
-        self._tried: dict[ItemKey, dict[str, float]] = {}
+        self._begun: dict[ItemKey, Worker] = {}  # items that have begun, by where they run
+        self._failures: dict[ItemKey, _Failures] = {}
         self._returns: Counter[ReturnReason] = Counter()
         self.run_s = FIRST_RUN_S  # that an item takes, on the mean of late
         self._endpoints = 1
@@ -108,15 +152,18 @@
         self._endpoints = max(1, endpoints)
         self._places = places
 
-    def _first_window(self) -> float:
-        share = self._places / 2 / max(1, len(self.workers) + 1)
-        return min(MOST_WINDOW, max(START_WINDOW, share))
+    def _share(self, sidecars: int) -> float:
+        """The window of one of so many sidecars: an even share of half of all places."""
+        return min(MOST_WINDOW, max(START_WINDOW, self._places / 2 / sidecars))
 
     def reset(self) -> None:
         """Nothing is given out: another table has taken the place of the one before."""
         self._starting.clear()
         self._given.clear()
-        self._tried.clear()
+        self._begun.clear()
+        for worker in self.workers.values():
+            worker.begun = 0
+        self._failures.clear()
         self._returns.clear()
 
     def placement(self, now: float) -> Placement:
@@ -124,14 +171,18 @@
         workers = self.workers.values()
         return Placement(
             sidecars=len(workers),
-            paused=sum(now < worker.paused_until for worker in workers),
+            paused=sum(worker.is_paused(now) for worker in workers),
             full=sum(worker.window - self._running(worker.node) < 1.0 for worker in workers),
-            stuck=sum(worker.stuck_at > worker.answered_at for worker in workers),
+            stuck=sum(worker.standing is Standing.STUCK for worker in workers),
             returns=dict(self._returns),
         )
 
-    def join(self, node: str, zone: str) -> None:
-        self.workers[node] = Worker(node, zone, self._first_window())
+    def join(self, now: float, node: str, zone: str, reach: Reach) -> None:
+        """A sidecar has opened a session; the job table has what it announces."""
+        self.workers.pop(node, None)
+        worker = Worker(node, zone, self._share(len(self.workers) + 1))
+        worker.opened(now, reach, self._running(node))
+        self.workers[node] = worker
 
     def leave(self, node: str) -> None:
         self.workers.pop(node, None)
@@ -139,103 +190,120 @@
     # --- choosing ---
 
     def tries(self, key: ItemKey) -> int:
-        """At how many sidecars the item has failed to move since it last moved."""
-        return len(self._tried.get(key, ()))
-
-    def has_room(self, now: float) -> bool:
-        """Whether any item may be given out now."""
-        return self._few_begin(now) and any(self._is_open(now, worker) for worker in self.workers.values())
-
-    def choose(self, now: float, key: ItemKey) -> Worker | None:
-        """The sidecar that is to run the item; None: it waits."""
-        if not self._few_begin(now):
-            return None
-        candidates = [worker for worker in self.workers.values() if self._is_open(now, worker)]
-        tried = self._tried.get(key)
-        if not tried:
-            return self._roomiest(now, candidates)
-        if any(worker.proven for worker in self.workers.values()):
-            # Worth waiting for: they have room again soon.
-            return self._least_recently_tried([worker for worker in candidates if worker.proven], tried)
-        if any(node not in tried for node in self.workers):
-            return self._roomiest(now, [worker for worker in candidates if worker.node not in tried])
-        return self._least_recently_tried(candidates, tried)
-
-    def _few_begin(self, now: float) -> bool:
-        """Whether another item may wait for its first event."""
+        """How often the item has failed to move, refusals apart, since it last moved."""
+        failures = self._failures.get(key)
+        return failures.unmoved if failures is not None else 0
+
+    def failures(self, key: ItemKey) -> dict[str, Failure]:
+        """Where the item was given back since it last moved, by node."""
+        failures = self._failures.get(key)
+        return failures.by_node if failures is not None else {}
+
+    def round(self, now: float) -> Round:
+        """The sidecars that have room now."""
+        some_move = any(worker.moves_now(now) for worker in self.workers.values())
+        room: dict[Worker, float] = {}
+        for worker in self.workers.values():
+            # Where none is known to do better, each is tried all the time.
+            free = worker.free(now, self._running(worker.node), wanted=not some_move)
+            if free >= 1.0:
+                room[worker] = free
+        return Round(now, room, some_move, self._may_begin(now))
+
+    def moving(self) -> list[str]:
+        """The sidecars that have moved items, and given none back since."""
+        return [w.node for w in self.workers.values() if w.standing is Standing.MOVING]
+
+    def _may_begin(self, now: float) -> float:
+        """How many more items may wait for their first event."""
         for key in [k for k, since in self._starting.items() if now - since > STARTING_S]:
             del self._starting[key]
-        return len(self._starting) < STARTING_PER_ENDPOINT * self._endpoints
-
-    def _is_open(self, now: float, worker: Worker) -> bool:
-        return worker.free(now, self._running(worker.node)) >= 1.0
-
-    def _roomiest(self, now: float, workers: list[Worker]) -> Worker | None:
-        def room(worker: Worker) -> float:
-            return worker.free(now, self._running(worker.node))
-
-        return max(workers, key=room, default=None)
-
-    @staticmethod
-    def _least_recently_tried(workers: list[Worker], tried: dict[str, float]) -> Worker | None:
-        """Where the item has never been, or was longest ago; of those the one that was answered last."""
-        return min(
-            workers, key=lambda worker: (tried.get(worker.node, NEVER), -worker.answered_at), default=None
-        )
+        return STARTING_PER_ENDPOINT * self._endpoints - len(self._starting)
 
     # --- what becomes of items ---
 
-    def given(self, now: float, key: ItemKey) -> None:
-        self._starting[key] = now
+    def given(self, now: float, key: ItemKey, worker: Worker) -> None:
+        """The item runs at that sidecar from now on."""
+        if worker.is_tested(now):
+            self._starting[key] = now
         self._given[key] = now
 
     def started(self, now: float, node: str, key: ItemKey) -> None:
         """The item's first event has come from an endpoint of this node's."""
         self._starting.pop(key, None)
-        self._tried.pop(key, None)
+        self._failures.pop(key, None)
         worker = self.workers.get(node)
-        if worker is not None:
-            worker.moved(now)
+        if worker is not None and key not in self._begun:
+            self._begun[key] = worker
+            worker.begun += 1
+            worker.moved(now, self._share(len(self.moving()) + 1))
 
     def answered(self, now: float, node: str) -> None:
         """Endpoints have answered calls of this node's, live ones perhaps."""
         worker = self.workers.get(node)
         if worker is not None:
-            worker.answered_at = now
+            worker.answered(now)
+
+    def was_answered(self, node: str, since: float) -> bool:
+        """Whether endpoints are known to have answered calls of the node's since then."""
+        worker = self.workers.get(node)
+        return worker is not None and worker.answered_at >= since
+
+    def routes_by(self, node: str, generation: int) -> None:
+        """The node routes by that generation of the configuration."""
+        worker = self.workers.get(node)
+        if worker is not None:
+            worker.routes_by(generation)
 
     def finished(self, now: float, node: str, key: ItemKey) -> None:
         """The node has done the item, which still counts among those that it runs."""
         since = self._given.get(key)
         if since is not None:
             self.run_s += RUN_WEIGHT * (now - since - self.run_s)
+        self.started(now, node, key)  # its last events may be all that came
         self.forget(key)
         worker = self.workers.get(node)
         if worker is None:
             return
-        worker.moved(now)
+        worker.answered(now)
         if self._running(node) >= worker.window - 1:
-            worker.window = min(MOST_WINDOW, worker.window + GROW)
+            worker.grow(now)
 
     def forget(self, key: ItemKey) -> None:
         """The item needs no sidecar any more: it is done, or its job has ended."""
         self.released(key)
-        self._tried.pop(key, None)
+        self._failures.pop(key, None)
 
     def released(self, key: ItemKey) -> None:
         """No sidecar runs the item now."""
+        worker = self._begun.pop(key, None)
+        if worker is not None:
+            worker.begun -= 1
         self._starting.pop(key, None)
         self._given.pop(key, None)
 
-    def returned(self, now: float, node: str, key: ItemKey, reason: ReturnReason) -> None:
-        """The node has given the item back."""
+    def returned(self, now: float, node: str, key: ItemKey, route: str, reason: ReturnReason) -> None:
+        """The node has given an item of that route back."""
         self.released(key)
         self._returns[reason] += 1
-        if reason in (ReturnReason.SILENT, ReturnReason.STUCK, ReturnReason.FAILED):
-            self._tried.setdefault(key, {})[node] = now
         worker = self.workers.get(node)
-        if worker is None:
-            return
-        if reason in (ReturnReason.STUCK, ReturnReason.STOPPING):
+        if reason is ReturnReason.UNKNOWN_ROUTE:
+            if worker is not None:
+                worker.lacks(route)
+        elif reason is ReturnReason.STOPPING:
+            if worker is not None:
+                worker.stopping = True
+        else:
+            failures = self._failures.setdefault(key, _Failures())
+            failures.add(now, node, refused=reason is ReturnReason.REFUSED)
+            if worker is not None:
+                self._judge(now, worker, reason)
+
+    @staticmethod
+    def _judge(now: float, worker: Worker, reason: ReturnReason) -> None:
+        if reason is ReturnReason.STUCK:
             worker.stuck(now)
-        elif reason in (ReturnReason.REFUSED, ReturnReason.SILENT):
+        elif reason is ReturnReason.FAILED:
+            worker.failed(now)
+        else:
             worker.refused(now)
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -399,6 +399,11 @@
         start = PoolMemory(1.0, self._capacity * START_SHARE, START_MEDIAN, START_MEDIAN)
         self._balancer.recall(self.now_us(), Memory([start] * len(Ring), []))
 
+    async def reaches_endpoint(self) -> bool:
+        """Whether an endpoint, drawn by chance, takes a connection."""
+        pools = list(self._pools.values())
+        return bool(pools) and await self._rng.choice(pools).reach()
+
     def order(self, call: Call) -> None:
         """Take a call; its sink hears of its end, perhaps within this call."""
         if self._balancer is None:
--- a/eiderhub/dataplane/engine.py
+++ b/eiderhub/dataplane/engine.py
@@ -218,7 +218,16 @@
         task.add_done_callback(self._tasks.discard)
         return exchange
 
-    async def _connect(self, data: bytes, listener: Listener, exchange: Exchange) -> None:
+    async def reach(self) -> bool:
+        """Whether the endpoint takes a connection; it is kept for the next request."""
+        connection = await self._open()
+        if connection is None:
+            return False
+        self.release(connection, KEEP_S * KEEP_SHARE)
+        return True
+
+    async def _open(self) -> EngineConnection | None:
+        """A new connection; None: none has come up in time."""
         self.opened += 1
         loop = asyncio.get_running_loop()
         try:
@@ -227,10 +236,15 @@
                     lambda: EngineConnection(self), self._host, self._port
                 )
         except (OSError, TimeoutError):
+            return None
+        return connection
+
+    async def _connect(self, data: bytes, listener: Listener, exchange: Exchange) -> None:
+        connection = await self._open()
+        if connection is None:
             if not exchange.dropped:
                 listener.on_lost(False)
-            return
-        if exchange.dropped:
+        elif exchange.dropped:
             self.release(connection, KEEP_S * KEEP_SHARE)
         elif connection.lost:
             listener.on_lost(False)
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -21,8 +21,8 @@
     ItemFinished,
     ItemKey,
     ItemReturned,
-    ItemStarted,
     ItemStored,
+    ProbeEndpoints,
     Progress,
     ReadBody,
     ReadResults,
@@ -40,6 +40,7 @@
 from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route
 from eiderhub.transport.framing import Connection, Message, connect
+from eiderhub.transport.tasks import TaskSet
 
 RETRY_S = 0.1
 ACCEPT_S = 0.6  # a storage node that has not taken the session by then does not lead
@@ -51,13 +52,12 @@
 # An item that has not moved for so long is given back. Danger: an endpoint whose machine has lost its power
 # says nothing, and would hold the item for the time above.
 ITEM_SILENCE_S = 4.0
-# So is one that no endpoint has taken for so long, or for its objective, if that is more: the decisions hold
-# a call for a part of it.
-QUEUE_SILENCE_S = 2.0
-# So are those that have not begun, once no endpoint has said anything to this sidecar for so many objectives,
-# at so many looks in a row: it reaches none, and others may. For twice as long with each sidecar that gave
-# the item back before: where endpoints are slow everywhere, one has to wait. Looks, not seconds: a process
-# that was frozen has answers to read.
+# So is one that no endpoint has taken at so many looks in a row, or for its objective, if that is more: the
+# decisions hold a call for a part of it. Looks, not seconds: a process that was frozen has answers to read.
+LEAST_QUEUE_LOOKS = 3
+# So are those that have been sent and not begun, once no endpoint has said anything to this sidecar for so
+# many objectives, at so many looks in a row: it reaches none, and others may. For twice as long with each
+# time that the item has failed to move before: where endpoints are slow everywhere, one has to wait.
 STILL_OBJECTIVES, LEAST_STILL_LOOKS, MOST_STILL_LOOKS = 2.0, 4, int(ITEM_SILENCE_S / TEND_S)
 
 
@@ -72,6 +72,9 @@
     def answers(self) -> int:
         """How often any endpoint has said anything to this sidecar."""
 
+    async def reaches_endpoint(self) -> bool:
+        """Whether an endpoint, drawn by chance, takes a connection."""
+
 
 class RunningItem:
     """One item that this sidecar runs; implements admission's `Sink`."""
@@ -83,6 +86,7 @@
         self._started = False
         self.moved_at = runner.now()
         self._still_looks = 0  # in a row, at which endpoints had said nothing to this sidecar
+        self._queue_looks = 0  # in a row, at which no endpoint had it
         self._tries = order.tries
         self.call: Call | None = None
         self.admission: Admission | None = None
@@ -123,8 +127,13 @@
 
         `still`: endpoints have said nothing to this sidecar since the look before.
         """
+        if self._started:
+            return False
         self._still_looks = self._still_looks + 1 if still else 0
-        return not self._started and self._still_looks > self._most_still_looks()
+        self._queue_looks = 0 if self.at_endpoint else self._queue_looks + 1
+        if self.at_endpoint:
+            return self._still_looks > self._most_still_looks()
+        return self._queue_looks > self._most_queue_looks()
 
     def _objective_s(self) -> float:
         return self.call.route.slo_ms / 1000 if self.call is not None else 0.0
@@ -133,10 +142,9 @@
         first = max(LEAST_STILL_LOOKS, math.ceil(STILL_OBJECTIVES * self._objective_s() / TEND_S))
         return min(first << self._tries, MOST_STILL_LOOKS)
 
-    @property
-    def queue_bound_s(self) -> float:
-        """How long it may wait until an endpoint takes it."""
-        return min(max(QUEUE_SILENCE_S, self._objective_s()), ITEM_SILENCE_S)
+    def _most_queue_looks(self) -> int:
+        """At how many looks in a row no endpoint may have taken it."""
+        return min(max(LEAST_QUEUE_LOOKS, int(self._objective_s() / TEND_S)), MOST_STILL_LOOKS)
 
     @property
     def at_endpoint(self) -> bool:
@@ -175,6 +183,7 @@
         self._numbers = itertools.count(1)
         self._up = asyncio.Event()  # set while a primary has taken the session
         self._answers = 0  # of endpoints, at the last look
+        self._probes = TaskSet()
         self.stopping = False
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self._run()), loop.create_task(self._tend_forever())]
@@ -266,6 +275,9 @@
             self._cancel(message.key)
         elif isinstance(message, ItemStored):
             self._ledger.forget(message.key)
+        elif isinstance(message, ProbeEndpoints):
+            if not self._probes:
+                self._probes.start(self._probe(), lambda: None)
         elif isinstance(message, Answer):
             future = self._calls.pop(message.call, None)
             if future is not None and not future.done():
@@ -318,26 +330,36 @@
                 if item.call is not None and item.admission is not None:
                     item.admission.time_out(item.call)
 
+    async def _probe(self) -> None:
+        """Find out whether endpoints can be reached."""
+        if await self._router.reaches_endpoint():
+            self._send(self._ledger.probed(self.now()))
+
     @staticmethod
     def _why_to_give_back(now: float, item: RunningItem, still: bool) -> ReturnReason | None:
         """Why an item has been here for too long; None: it has not."""
         idle_s = now - item.moved_at
         if item.looked_at(still):
             return ReturnReason.STUCK
-        if item.at_endpoint or item.begun:
-            return ReturnReason.SILENT if idle_s >= ITEM_SILENCE_S else None
-        return ReturnReason.STUCK if idle_s >= item.queue_bound_s else None
+        return ReturnReason.SILENT if idle_s >= ITEM_SILENCE_S else None
 
     # --- items ---
 
+    def routes_changed(self, generation: int) -> None:
+        """Another configuration is in force."""
+        self._send(self._ledger.routes_changed(self.now(), generation))
+
     def _start(self, order: RunItem) -> None:
         if self._ledger.order(order.key) is Order.HELD:
             return  # the next report tells that it is here, or its end is told again
         item = RunningItem(self, order)
         self._items[order.key] = item
+        if self.stopping:
+            self.give_back(item, ReturnReason.STOPPING)
+            return
         found = self._router.route_for(order.route)
-        if found is None or self.stopping:
-            self.give_back(item, ReturnReason.STOPPING if self.stopping else ReturnReason.REFUSED)
+        if found is None:
+            self.give_back(item, ReturnReason.UNKNOWN_ROUTE)
             return
         route, admission = found
         headers = {name.encode(): value.encode() for name, value in order.headers.items()}
@@ -363,8 +385,7 @@
             item.admission.abandon(item.call)
 
     def started(self, item: RunningItem) -> None:
-        if self._ledger.accepted:
-            self._send([ItemStarted(item.key)])
+        self._send(self._ledger.began(item.key))
 
     def ended(self, outcome: ItemFinished | ItemReturned) -> None:
         """An item runs here no more."""
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -87,6 +87,8 @@
         if self._routes is None:
             return
         self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
+        if changed:
+            self._runner.routes_changed(self._routes.generation)
         if changed or self._endpoints_version != self.tables.endpoints.version:
             self._endpoints_version = self.tables.endpoints.version
             self._follow_services(self._routes)
@@ -124,6 +126,11 @@
         """How often any endpoint has said anything to this sidecar."""
         return sum(admission.answers for admission in self._admissions.values())
 
+    async def reaches_endpoint(self) -> bool:
+        """Whether an endpoint, drawn by chance, takes a connection."""
+        admissions = list(self._admissions.values())
+        return bool(admissions) and await self._rng.choice(admissions).reaches_endpoint()
+
     # --- clients ---
 
     @staticmethod
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -174,6 +174,7 @@
             self._tasks.start(self._finish(session, message), connection.close)
         elif isinstance(message, ItemReturned):
             self._dispatch.returned(self._now(), session, message)
+            self._give_out()
 
     def on_closed(self, connection: Connection) -> None:
         self._host.on_closed(connection)
--- a/tests/items_support.py
+++ b/tests/items_support.py
@@ -10,11 +10,12 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any, cast
+from unittest import mock
 
 from eiderhub.batch.messages import Answer
 from eiderhub.control.errors import ErrorKind
 from eiderhub.control.messages import ConfigurationUpdate, NodeRecord
-from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.admission import Admission, Attempt, Call
 from eiderhub.dataplane.events import Event
 from eiderhub.dataplane.items import ItemRunner
 from eiderhub.dataplane.routes import Route, RouteTable
@@ -105,9 +106,14 @@
     def now_us() -> int:
         return 0
 
+    async def reaches_endpoint(self) -> bool:
+        return self.reaches_others
+
     def order(self, call: Call) -> None:
         item = call.request_id.decode()
         self.calls[item] = call
+        if self.reaches_others:
+            call.current = mock.Mock(spec=Attempt, endpoint="e")  # an endpoint has it
         self.begun.append(item)
 
     def abandon(self, call: Call) -> None:
@@ -117,6 +123,11 @@
         if self.calls.pop(call.request_id.decode(), None) is not None:
             call.sink.refuse(ErrorKind.UNCERTAIN, 0)
 
+    def begin(self, item: str) -> None:
+        """The item's first event comes."""
+        self._answers += 1
+        self.calls[item].sink.event(Event(b"", 0, f"text of {item}"))
+
     def finish(self, item: str) -> None:
         call = self.calls.pop(item)
         self._answers += 1
@@ -142,6 +153,9 @@
     def answers(self) -> int:
         return self.admission.answers()
 
+    async def reaches_endpoint(self) -> bool:
+        return await self.admission.reaches_endpoint()
+
     async def submit(self, job: str, *items: str) -> int:
         requests = [
             {"id": i, "path": f"/{ROUTE}/{i}", "tokens": 1, "body": base64.b64encode(b"b").decode()}
