--- a/tests/items_support.py
+++ b/tests/items_support.py
@@ -176,7 +176,7 @@
         self.store = MemoryStore()
         identity = f"{uuid.uuid4().hex[:8]}@127.0.0.1:1"
         node = NodeRecord("storage-0", "storage", "z0", identity)
-        self.service = StorageService(_settings(folder), cast(Any, self.store), node)
+        self.service = StorageService(tier_settings(folder, "storage"), cast(Any, self.store), node)
         self.service.group.replica.bootstrap([identity])
         self.service.tables.apply(ConfigurationUpdate(1, json.dumps(document(1)).encode()))
         self.service._on_tables()
@@ -192,9 +192,10 @@
         self.service.group.stop()
 
 
-def _settings(folder: Path) -> TierSettings:
+def tier_settings(folder: Path, role: str) -> TierSettings:
+    """Of a node that knows no other."""
     return TierSettings(
-        node_name="storage-0", role="storage", ip="127.0.0.1", zone="z0", region="r", zones={}, frontend="",
+        node_name=f"{role}-0", role=role, ip="127.0.0.1", zone="z0", region="r", zones={}, frontend="",
         readiness="", control="", first_port=1, last_port=2, seeds=[], bootstrap=True, data_dir=str(folder),
         disk_mb=8.0, memory_mb=100.0, platform="", drain_ms=1000.0, grace_s=8.0, status_ttl_s=120.0,
         fault_tolerance=0,
