Put a configuration in force whole or try again; ask for the whole where a change cannot be applied

Change: what is in force is noted last, and the session tells again 0.2 s after a fault. Tables that failed at a change tell generation 0, so that the whole is sent; what is in force stays meanwhile. Classes of alike routes are made once.

--- a/eiderhub/control/distribution.py
+++ b/eiderhub/control/distribution.py
@@ -12,8 +12,10 @@
 from typing import NamedTuple
 
 from msgspec import Struct, field
+from result import Err, Result
 
 from eiderhub.control import configuration
+from eiderhub.control.errors import Refusal
 from eiderhub.control.messages import (
     ConfigurationDelta,
     ConfigurationUpdate,
@@ -58,6 +60,15 @@
     spending: SpendingUpdate = field(default_factory=lambda: SpendingUpdate(UNKNOWN, []))
     configuration_deltas: deque[ConfigurationDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
     endpoints_deltas: deque[EndpointsDelta] = field(default_factory=lambda: deque(maxlen=KEPT_DELTAS))
+    needs_whole: bool = False  # a change of the configuration could not be applied to what is here
+
+    @property
+    def known_generation(self) -> int:
+        """Of the configuration that changes may build on; 0: the whole is wanted.
+
+        Danger: were the same change sent again, it would fail again, with each session.
+        """
+        return 0 if self.needs_whole else self.configuration.generation
 
     def apply(self, update: TableUpdate) -> bool:
         """Take a newer state of one table; an older one, or a change of another state, changes nothing."""
@@ -67,6 +78,7 @@
             made = Configuration(update.generation, json.loads(update.document), update.document)
             self._note_configuration(self.configuration, made)
             self.configuration = made
+            self.needs_whole = False
         elif isinstance(update, EndpointsUpdate):
             if update.version <= self.endpoints.version:
                 return False
@@ -99,7 +111,15 @@
     def _apply_configuration(self, delta: ConfigurationDelta) -> bool:
         if delta.base != self.configuration.generation:
             return False
-        made = configuration.patched(self.configuration.document, json.loads(delta.patch)).unwrap()
+        patched: Result[configuration.Document, Refusal] | None
+        try:
+            patched = configuration.patched(self.configuration.document, json.loads(delta.patch))
+        except ValueError:
+            patched = None
+        if patched is None or isinstance(patched, Err):
+            self.needs_whole = True
+            return False
+        made = patched.ok_value
         self.configuration = Configuration(delta.generation, made)
         self.configuration_deltas.append(delta)
         return True
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -319,7 +319,8 @@
     def follow_routes(self, routes: Sequence[Route], capacity: int) -> None:
         """The routes that lead here now: new classes need a new instance of the decisions."""
         self._capacity = capacity
-        classes = {class_name(route): request_class(route) for route in routes}
+        one_of_each = {class_name(route): route for route in routes}
+        classes = {name: request_class(route) for name, route in one_of_each.items()}
         tenants = {route.name: batch_tenant(route) for route in routes if route.kind == "batch"}
         if classes.items() <= self._classes.items() and tenants.items() <= self._tenants.items():
             return
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -78,26 +78,36 @@
         return found
 
     def _on_tables(self) -> None:
-        configuration = self.tables.configuration
-        changed = configuration.generation and (
-            self._routes is None or self._routes.generation != configuration.generation
-        )
-        if changed:
-            self._routes = RouteTable(configuration.generation, configuration.document)
-        if self._routes is None:
+        """Put the newest tables in force.
+
+        Danger: what is in force is noted last. Where a part of it fails this is called again, and must find
+        that it is still to be done.
+        """
+        routes = self._newest_routes()
+        if routes is None:
             return
-        self._spending.follow(self._routes.tenants, self.tables.spending.exhausted)
-        if changed:
-            self._runner.routes_changed(self._routes.generation)
-        if changed or self._endpoints_version != self.tables.endpoints.version:
+        if routes is not self._routes or self._endpoints_version != self.tables.endpoints.version:
+            self._follow_services(routes)
             self._endpoints_version = self.tables.endpoints.version
-            self._follow_services(self._routes)
+        self._spending.follow(routes.tenants, self.tables.spending.exhausted)
+        if routes is not self._routes:
+            self._routes = routes
+            self._runner.routes_changed(routes.generation)
         sidecars = self.tables.nodes.sidecars
         if sidecars:
             rank = zlib.crc32(self._settings.node_name.encode()) % sidecars
             for admission in self._admissions.values():
                 admission.follow_fleet(rank, sidecars)
 
+    def _newest_routes(self) -> RouteTable | None:
+        """Those of the newest configuration; the ones in force where they are; None: there is none yet."""
+        configuration = self.tables.configuration
+        if self._routes is not None and self._routes.generation == configuration.generation:
+            return self._routes
+        if not configuration.generation:
+            return None
+        return RouteTable(configuration.generation, configuration.document)
+
     def _follow_services(self, table: RouteTable) -> None:
         listed: dict[str, list[EndpointRecord]] = {}
         for record in self.tables.endpoints.endpoints:
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+import picologging as logging
+
 from eiderhub import address
 from eiderhub.control.distribution import Tables
 from eiderhub.control.freshness import FRESH_S, Freshness
@@ -22,6 +24,9 @@
 
 PING_S = 0.25
 RETRY_S = 0.1
+UPDATE_AGAIN_S = 0.2  # tables that could not be put in force are tried again so much later
+
+log = logging.getLogger("session")
 
 
 class ControlSession:
@@ -87,7 +92,7 @@
     def _ping(self) -> SessionPing:
         tables = self._tables
         ping = SessionPing(
-            tables.configuration.generation,
+            tables.known_generation,
             tables.endpoints.version,
             tables.nodes.version,
             tables.spending.version,
@@ -105,14 +110,25 @@
         elif isinstance(message, TableUpdate):
             if self._tables.lacks_base_of(message):
                 connection.close()  # the next session begins with what is here
-            elif self._tables.apply(message) and not self._update_due:
+                return
+            applied = self._tables.apply(message)
+            if self._tables.needs_whole:
+                log.error("a change of the configuration could not be applied; the whole is asked for")
+                connection.close()
+            elif applied and not self._update_due:
                 # Told once for all that has come by now: only the newest state is put in force.
                 self._update_due = True
                 asyncio.get_running_loop().call_soon(self._tell_update)
 
     def _tell_update(self) -> None:
+        """Have the newest tables put in force; where that fails, again after a while."""
         self._update_due = False
-        self._on_update()
+        try:
+            self._on_update()
+        except Exception as error:  # Danger: nothing else may come for long, and old routes would stay
+            log.error("the newest tables could not be put in force: %r", error)
+            self._update_due = True
+            asyncio.get_running_loop().call_later(UPDATE_AGAIN_S, self._tell_update)
 
     def on_closed(self, connection: Connection) -> None:
         if connection is self.connection:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -117,3 +117,25 @@
     assert reader.lacks_base_of(EndpointsDelta(TableVersion(1, 5), TableVersion(1, 6), [], []))
     assert not reader.lacks_base_of(EndpointsDelta(TableVersion(1, 4), TableVersion(1, 6), [], []))
     assert not reader.lacks_base_of(configuration(9, a=2))
+
+
+def test_change_that_cannot_be_applied_has_the_whole_sent() -> None:
+    """The same change would fail with each session: a sidecar would never have a newer configuration."""
+    primary, reader, subscriber = Tables(), Tables(), Subscriber()
+    many = {f"r{n}": 1000 for n in range(20)}
+    primary.apply(configuration(3, **many))
+    reader.apply(subscriber.pending(primary)[0])
+    for patch in (b'{"upsert": []}', b"no JSON", b'{"upsert": {"routes": [{}]}}'):
+        assert not reader.apply(ConfigurationDelta(3, 4, patch))
+        assert reader.needs_whole
+        assert reader.configuration.generation == 3  # what is in force stays
+        again = Subscriber()
+        primary.apply(configuration(4, **many | {"r4": 5}))
+        again.acknowledge(
+            SessionPing(reader.known_generation, reader.endpoints.version, reader.nodes.version)
+        )
+        (whole,) = again.pending(primary)
+        assert isinstance(whole, ConfigurationUpdate)
+    assert reader.apply(whole)
+    assert not reader.needs_whole
+    assert reader.known_generation == 4
--- a/tests/test_edge_service.py
+++ b/tests/test_edge_service.py
@@ -64,7 +64,7 @@
         monkeypatch.setattr(Admission, "follow_routes", fault)
         service.tables.apply(update(2))
         service.tables.apply(EndpointsUpdate(TableVersion(1, 1), []))
-        service._on_tables()
+        service._session._tell_update()
         assert fault.failed
         assert generation_of(service) == 1
         await until(lambda: generation_of(service) == 2, "the newest configuration is in force")
