Send items by the routes in force: what waits is given back, what fails is not tried again at the service of before

Change: as a configuration comes into force, items that are not at an endpoint and whose route leads elsewhere are given back (route moved); those that are get no further attempt there.

--- a/eiderhub/batch/ledger.py
+++ b/eiderhub/batch/ledger.py
@@ -24,7 +24,7 @@
 )
 
 # Ends that say nothing of the sidecar's way to endpoints.
-OF_THE_ITEM_ALONE = (ReturnReason.STOPPING, ReturnReason.UNKNOWN_ROUTE)
+OF_THE_ITEM_ALONE = (ReturnReason.STOPPING, ReturnReason.ROUTE_MOVED, ReturnReason.UNKNOWN_ROUTE)
 TELL_AGAIN_S = 1.0  # a result that has not been stored by then is told again
 
 
--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -149,6 +149,7 @@
     FAILED = "failed"  # all attempts that were allowed have failed
     SILENT = "silent"  # its endpoint has said nothing for too long
     STUCK = "stuck"  # no endpoint has taken it, or nothing at all has moved at the sidecar
+    ROUTE_MOVED = "route moved"  # its route leads to another service now
     UNKNOWN_ROUTE = "unknown route"  # the sidecar's configuration does not have the item's route
     STOPPING = "stopping"  # the sidecar ends
 
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -293,7 +293,7 @@
         elif reason is ReturnReason.STOPPING:
             if worker is not None:
                 worker.stopping = True
-        else:
+        elif reason is not ReturnReason.ROUTE_MOVED:
             failures = self._failures.setdefault(key, _Failures())
             failures.add(now, node, refused=reason is ReturnReason.REFUSED)
             if worker is not None:
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -103,8 +103,8 @@
     """One request that admission owes an end for."""
 
     __slots__ = (
-        "alarm", "attempts", "balancer", "begun", "current", "due_us", "errors", "exchange", "head", "key",
-        "last_event", "ran", "request_id", "response", "route", "sink", "tenant", "tokens",
+        "alarm", "attempts", "balancer", "begun", "current", "due_us", "errors", "exchange", "final", "head",
+        "key", "last_event", "ran", "request_id", "response", "route", "sink", "tenant", "tokens",
     )  # fmt: skip
 
     def __init__(
@@ -135,6 +135,7 @@
         self.begun = False
         self.ran = 0  # attempts that may have run
         self.errors = 0  # answers of 500
+        self.final = False  # no attempt may follow the one under way: its route leads elsewhere now
         self.response: tuple[int, Headers, bytes] | None = None  # an endpoint's failure, to be passed on
 
 
@@ -480,7 +481,7 @@
                 call.sink.finish()
             elif call.response is not None:
                 call.sink.answer(*call.response)
-        spent = ran and call.ran >= call.route.max_attempts
+        spent = call.final or (ran and call.ran >= call.route.max_attempts)
         if not done and spent and call.key in self._calls:
             self._give_up(call)
         open_still = call.key in self._calls
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -69,6 +69,9 @@
 
     def route_for(self, name: str) -> tuple[Route, Admission] | None: ...
 
+    def leads_to(self, name: str, admission: Admission) -> bool:
+        """Whether the route, as it is in force now, leads to that service."""
+
     def answers(self) -> int:
         """How often any endpoint has said anything to this sidecar."""
 
@@ -346,8 +349,18 @@
     # --- items ---
 
     def routes_changed(self, generation: int) -> None:
-        """Another configuration is in force."""
+        """Another configuration is in force: what has not been sent by the one before is not to be."""
         self._send(self._ledger.routes_changed(self.now(), generation))
+        for item in list(self._items.values()):
+            if item.call is None or item.admission is None:
+                continue
+            if self._router.leads_to(item.call.route.name, item.admission):
+                continue
+            if item.at_endpoint:
+                item.call.final = True
+            else:
+                item.admission.abandon(item.call)
+                self.give_back(item, ReturnReason.ROUTE_MOVED)
 
     def _start(self, order: RunItem) -> None:
         if self._ledger.order(order.key) is Order.HELD:
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -132,6 +132,11 @@
         admission = self._admissions.get(route.draw_service(self._rng))
         return (route, admission) if admission is not None else None
 
+    def leads_to(self, name: str, admission: Admission) -> bool:
+        """Whether the route, as it is in force now, leads to that service."""
+        route = self._routes.by_name.get(name) if self._routes else None
+        return route is not None and any(self._admissions.get(s) is admission for s, _ in route.services)
+
     def answers(self) -> int:
         """How often any endpoint has said anything to this sidecar."""
         return sum(admission.answers for admission in self._admissions.values())
--- a/tests/items_support.py
+++ b/tests/items_support.py
@@ -150,6 +150,9 @@
     def route_for(self, name: str) -> tuple[Route, Admission] | None:
         return self._route, cast(Admission, self.admission)
 
+    def leads_to(self, name: str, admission: Admission) -> bool:
+        return cast(Any, admission) is self.admission
+
     def answers(self) -> int:
         return self.admission.answers()
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -12,7 +12,7 @@
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route, RouteTable
-from tests.engine_support import BOUND_S, SERVICE, Recorder, ScriptedEndpoint
+from tests.engine_support import BOUND_S, SERVICE, Bench, Recorder, Request, ScriptedEndpoint, route_of
 
 CHANGES = 6
 ITEM_TIME_US = 60_000_000
@@ -116,3 +116,31 @@
         assert not made.busy
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize("final", [False, True])
+def test_call_whose_route_has_moved_gets_no_further_attempt(final: bool) -> None:
+    async def test() -> None:
+        asked: list[str] = []
+
+        async def fail_first(request: Request) -> None:
+            asked.append(request.endpoint.identity)
+            if len(asked) == 1:
+                call.final = final
+                request.reset()
+            else:
+                request.send(request.answer())
+
+        bench = Bench(*(ScriptedEndpoint(f"i-{number}", fail_first) for number in range(3)))
+        await bench.start(route_of("idempotent"))
+        sink = Recorder()
+        call = item(bench.admission, bench.route, "a", sink)
+        bench.admission.order(call)
+        async with asyncio.timeout(BOUND_S):
+            await sink.ended.wait()
+        assert len(asked) == (1 if final else 2)
+        assert sink.refusal is (ErrorKind.FAILED if final else None)
+        assert not bench.admission.busy
+        bench.stop()
+
+    asyncio.run(test())
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -25,7 +25,7 @@
 from eiderhub.dataplane.items import ItemRunner, RunningItem
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.storage_service import SPACE_SHARE
-from tests.items_support import BOUND_S, ROUTE, Bench, Sidecar, bench, listed, until
+from tests.items_support import BOUND_S, ROUTE, Bench, HandAdmission, Sidecar, bench, listed, until
 from tests.tier_support import document
 
 RETURN_S = 0.8  # a sidecar that has gone has so long to come back
@@ -345,3 +345,30 @@
     item = running_item(100)
     item.event(Event(b"", 0, "text"))
     assert not any(item.looked_at(still=True) for _ in range(20))
+
+
+@pytest.mark.parametrize("sent", [False, True])
+def test_item_whose_route_has_moved_is_not_sent_to_the_service_of_before(tmp_path: Path, sent: bool) -> None:
+    """It reaches endpoints by what is in force then, not by what was when it came."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            sidecar = await made.sidecar("edge-0")
+            before = sidecar.admission
+            before.reaches_others = sent  # whether an endpoint has it
+            assert await sidecar.submit("job", "a") == 202
+            await holds(sidecar, "a")
+            call = before.calls["a"]
+            sidecar.admission = HandAdmission()
+            sidecar.runner.routes_changed(2)
+            assert call.final == sent
+            if sent:
+                assert list(before.calls) == ["a"]
+                before.refuse("a")  # its attempt has failed: nothing follows it there
+            await holds(sidecar, "a")
+            assert before.calls == {}
+            assert before.begun == ["a"]
+            sidecar.admission.finish("a")
+            await listed(sidecar, "job", "a")
+
+    asyncio.run(test())
