Count answers of 500 on through changes of primary, and over sidecars

Change: the counts of a job's items are written with its state and go with it; an order tells how many there have been.

--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -20,7 +20,7 @@
 from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.coordination.messages import Write
 
-JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX = "job/", "body/", "result/"
+JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX, ERRORS_PREFIX = "job/", "body/", "result/", "errors/"
 POSITION_DIGITS = 7
 NO_POSITION = -1
 MOST_ITEMS = 200
@@ -177,6 +177,9 @@
                 job.positions += 1
                 job.waiting_count -= 1
             job.visible = job.positions
+            errors = self._reader.get(ERRORS_PREFIX + job.record.id)
+            for name, times in msgspec.msgpack.decode(errors, type=dict[str, int]).items() if errors else ():
+                job.items[name].errors = times
             self._count(job)
 
     def _count(self, job: Job) -> None:
@@ -288,8 +291,17 @@
         return [
             Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(job.record)),
             Write(BODY_PREFIX + job_id, None),
+            Write(ERRORS_PREFIX + job_id, None),
         ]
 
+    def errors(self, job_id: str) -> list[Write]:
+        """What to write of the failed attempts of a job's items: the next primary counts on."""
+        job = self.jobs.get(job_id)
+        if job is None or job.record.ended or job.positions == len(job.items):
+            return []
+        times = {item.id: item.errors for item in job.items.values() if item.errors}
+        return [Write(ERRORS_PREFIX + job_id, msgspec.msgpack.encode(times))]
+
     def _release(self, job: Job, tokens: float) -> None:
         route = job.record.route
         self._queued[route] = max(0.0, self._queued.get(route, 0.0) - tokens)
@@ -307,7 +319,7 @@
                 self.jobs.pop(record.id)
                 self._bodies.pop(record.id, None)
                 results = [_result_key(record.id, position) for position in range(job.positions)]
-                keys = [JOB_PREFIX + record.id, BODY_PREFIX + record.id, *results]
+                keys = [prefix + record.id for prefix in (JOB_PREFIX, BODY_PREFIX, ERRORS_PREFIX)] + results
                 return [Write(key, None) for key in keys]
         return []
 
@@ -334,7 +346,7 @@
         job.positions += 1
         if job.positions == len(job.items):
             self._bodies.pop(key.job, None)
-            writes.append(Write(BODY_PREFIX + key.job, None))
+            writes += [Write(BODY_PREFIX + key.job, None), Write(ERRORS_PREFIX + key.job, None)]
         return writes
 
     def listed(self, key: ItemKey) -> bool:
@@ -406,7 +418,7 @@
         body = base64.b64decode(submitted.body)
         return RunItem(
             item.key, item.job.record.route, submitted.path, submitted.headers, body, due_ms,
-            item.progress, tries,
+            item.progress, tries, item.errors,
         )  # fmt: skip
 
     def announced(self, node: str, key: ItemKey) -> bool:
--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -115,7 +115,8 @@
     body: bytes
     due_in_ms: int
     progress: Progress | None = None
-    tries: int = 0  # sidecars at which it has failed to move since it last moved
+    tries: int = 0  # times that it has failed to move since it last moved
+    errors: int = 0  # answers of 500 that it has had, of those that its route allows
 
 
 class CancelItem(Struct, tag=True, frozen=True):
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -388,6 +388,7 @@
         if order.progress is not None:
             call.last_event = order.progress.last_event
             call.begun = True
+        call.ran = order.errors
         item.call, item.admission = call, admission
         admission.order(call)
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -174,6 +174,8 @@
             self._tasks.start(self._finish(session, message), connection.close)
         elif isinstance(message, ItemReturned):
             self._dispatch.returned(self._now(), session, message)
+            if message.errors:
+                self._tasks.start(self._keep_errors(message.key.job), connection.close)
             self._give_out()
 
     def on_closed(self, connection: Connection) -> None:
@@ -243,6 +245,13 @@
         self._flush()
         self._give_out()
 
+    async def _keep_errors(self, job: str) -> None:
+        """Have the next primary know how often a job's items have failed."""
+        try:
+            await self.group.commit(lambda: self._jobs.errors(job))
+        except (NotPrimary, CommitUnknown):
+            return
+
     async def _dispatch_forever(self) -> None:
         while True:
             await asyncio.sleep(DISPATCH_S)
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -372,3 +372,24 @@
             await listed(sidecar, "job", "a")
 
     asyncio.run(test())
+
+
+def test_attempts_that_an_item_has_had_elsewhere_count_at_the_next_sidecar(tmp_path: Path) -> None:
+    """Its route allows so many in all, not at each sidecar."""
+
+    async def test() -> None:
+        async with bench(tmp_path) as made:
+            sidecar = await made.sidecar("edge-0")
+            assert await sidecar.submit("job", "a") == 202
+            await holds(sidecar, "a")
+            assert sidecar.admission.calls["a"].ran == 0
+            sidecar.admission.calls["a"].errors = 2
+            sidecar.admission.refuse("a")
+            await holds(sidecar, "a")
+            assert sidecar.admission.calls["a"].ran == 2
+            await until(lambda: made.storage.store.get("errors/job"), "the count is stored")
+            sidecar.admission.finish("a")
+            await listed(sidecar, "job", "a")
+            assert made.storage.store.get("errors/job") is None
+
+    asyncio.run(test())
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -204,3 +204,36 @@
     first = primary.page("j")
     assert (len(first.results), first.next_token) == (1, 1)
     assert primary.page("j", 1).results[0].id == "b"
+
+
+def test_failed_attempts_are_counted_on_by_the_next_primary(primary: Primary) -> None:
+    """Else an item that fails at each run gets all its attempts anew with each primary."""
+    primary.submit("j", "a", "b")
+    item = primary.table.jobs["j"].items["a"]
+    primary.table.start(WALL, item, "n1")
+    primary.table.returned("n1", item.key, 2, None)
+    primary.commit(primary.table.errors("j"))
+    later = primary.successor()
+    again = later.jobs["j"].items["a"]
+    assert (again.errors, later.jobs["j"].items["b"].errors) == (2, 0)
+    assert later.start(WALL, again, "n2").errors == 2
+    later.returned("n2", again.key, 1, None)
+    assert again in later.hopeless(WALL, None)
+
+
+@pytest.mark.parametrize("end", ["last result", "ended", "purged"])
+def test_what_is_kept_of_failed_attempts_goes_with_the_job(primary: Primary, end: str) -> None:
+    primary.submit("j", "a")
+    item = primary.table.jobs["j"].items["a"]
+    primary.table.start(WALL, item, "n1")
+    primary.table.returned("n1", item.key, 1, None)
+    primary.commit(primary.table.errors("j"))
+    assert primary.store.get("errors/j") is not None
+    if end == "last result":
+        primary.finish("j", "a")
+    else:
+        primary.commit(primary.table.end("j"))
+    if end == "purged":
+        primary.commit(primary.table.purge(WALL + 1e6, 0.0))
+    assert primary.store.get("errors/j") is None
+    assert primary.table.errors("j") == []
