Give an item that came back out after the others of its job

Cause: with one item until one moves, an item that never moves was the first of its job again each time, and the others waited behind it. Change: an item that comes back goes behind the others of its job. The test tells of the first item's begin, as a real sidecar does.

--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -443,6 +443,8 @@
         if item is None or item.state is not ItemState.RUNNING or item.node != node:
             return None
         self.release(item)
+        # Behind the others: one that moves nowhere must not be all that is ever tried of its job.
+        item.job.items[item.id] = item.job.items.pop(item.id)
         item.errors += errors
         if progress is not None:
             item.progress = progress
--- a/eiderhub/batch/workers.py
+++ b/eiderhub/batch/workers.py
@@ -94,8 +94,9 @@
         """How many more items it may be given: one beside those that have begun, unless it is tested."""
         if self.stopping or self.is_paused(now, wanted):
             return 0.0
-        window = self.window if self.is_tested(now) else min(self.window, self.begun + LEAST_WINDOW)
-        return window - running
+        if self.is_tested(now):
+            return self.window - running
+        return min(self.window, self.begun + LEAST_WINDOW) - running
 
     def knows(self, route: str) -> bool:
         """Whether it may know a route."""
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -237,3 +237,14 @@
         primary.commit(primary.table.purge(WALL + 1e6, 0.0))
     assert primary.store.get("errors/j") is None
     assert primary.table.errors("j") == []
+
+
+def test_item_that_came_back_is_given_out_after_the_others_of_its_job(primary: Primary) -> None:
+    """Where few can be tried, one that never moves would be all that is tried."""
+    primary.submit("j", "a", "b", "c")
+    job = primary.table.jobs["j"]
+    for expected in ("a", "b", "c", "a"):
+        item = next(job.runnable())
+        assert item.id == expected
+        primary.table.start(WALL, item, "n1")
+        primary.table.returned("n1", item.key, 0, None)
