Model F5: a change confirmed by a primary that is lost at once is told to every sidecar within 4 s

With 30 and 170 sidecars in virtual time, whose sessions move meanwhile; the model's sidecars try all machines in turn as the real ones do, and give a machine that is down 0.5 s.

--- a/tests/model/actors.py
+++ b/tests/model/actors.py
@@ -23,6 +23,7 @@
 ANSWER_S = 0.4  # an operator waits so long before it sends its order to another machine
 PAUSE_S = 0.15
 REPLY_S = 0.01  # on the way to a sidecar
+CONNECT_S = 0.5  # a connection that has not come up by then
 
 
 def document(generation: int, author: str, base: int) -> bytes:
@@ -184,6 +185,7 @@
         self.tables = Tables()
         self.freshness = Freshness()
         self._with: Machine | None = None
+        self._to_try: list[Machine] = []
         self._since = 0.0
         self._session = 0
         network.timeline.after(rng.uniform(0.0, PING_S), self._ping)
@@ -199,16 +201,28 @@
         self._with = None
 
     def _ping(self) -> None:
-        if self._with is not None and self.now - self.freshness.silent_since(self._since) > FRESH_S:
+        if self._with is not None and self._has_waited_long(self._with):
             self._with = None
         self.look_for_a_session()
         self._look()
         self.network.timeline.after(PING_S, self._ping)
 
+    def _next_machine(self) -> Machine:
+        """All of them in turn, in an order drawn for each turn, as `ControlSession` tries its candidates."""
+        if not self._to_try:
+            self._to_try = self.rng.sample(self.machines, len(self.machines))
+        return self._to_try.pop()
+
+    def _has_waited_long(self, machine: Machine) -> bool:
+        """Whether it is to try another machine: this one is down, or says nothing that is current."""
+        if machine.process is None and self.now - self._since > CONNECT_S:
+            return True
+        return self.now - self.freshness.silent_since(self._since) > FRESH_S
+
     def look_for_a_session(self) -> None:
         """Ping the control machine of the session; any other one, where there is no session."""
         if self._with is None:
-            self._with = self.rng.choice(self.machines)
+            self._with = self._next_machine()
             self._since = self.now
             self._session += 1
             self._ask(self._with, SessionOpen(NodeRecord(self.name, "edge", "z")))
--- a/tests/model/named.py
+++ b/tests/model/named.py
@@ -5,12 +5,17 @@
 
 from __future__ import annotations
 
+import random
+
 from tests.model.actors import Sidecar
+from tests.model.history import Broken
 from tests.model.members import Machine
 from tests.model.schedules import CATCH_UP_S, LEADS_WITHIN_S, recover, serve
 from tests.model.world import World
 
 CUT_S = 20.0
+CONFIRMATIONS = 4
+TOLD_WITHIN_S = 4.0  # a confirmed change, to every sidecar, though the primary that confirmed it is lost
 
 
 def _leader(world: World) -> Machine:
@@ -260,3 +265,35 @@
     leader.start()
     recover(world)
     serve(world)
+
+
+def _next_change(world: World) -> None:
+    """Let time pass until another change has been acknowledged."""
+    newest = world.history.newest
+    world.run_until(lambda: world.history.newest > newest, LEADS_WITHIN_S, "a change")
+
+
+def confirmed_and_lost(world: World, sidecars: int = 30) -> float:
+    """Again and again the primary loses its power right after a change was acknowledged.
+
+    Returns the longest time until every sidecar had such a change, the sidecars that it had served included.
+    """
+    for number in range(sidecars - len(world.sidecars)):
+        made = Sidecar(world.network, random.Random(world.rng.random()), f"t{number}", world.history)
+        world.sidecars.append(made)
+    world.introduce()
+    longest = 0.0
+    for _ in range(CONFIRMATIONS):
+        leader = _leader(world)
+        _next_change(world)
+        leader.lose_power()
+        lost_at, wanted = world.timeline.now, world.history.newest
+        while min(s.tables.configuration.generation for s in world.sidecars) < wanted:
+            if world.timeline.now - lost_at > TOLD_WITHIN_S:
+                raise Broken(f"change {wanted} is not told {TOLD_WITHIN_S:g} s after its primary was lost")
+            world.timeline.run_until(world.timeline.now + 0.02)
+        longest = max(longest, world.timeline.now - lost_at)
+        leader.start()
+        world.run(CATCH_UP_S)
+    recover(world)
+    return longest
--- a/tests/test_five_points.py
+++ b/tests/test_five_points.py
@@ -51,3 +51,14 @@
 def test_schedule_breaks_nothing(schedule: Schedule, shape: Shape) -> None:
     for seed in range(SEEDS):
         play(schedule, shape, seed)
+
+
+@pytest.mark.parametrize(("sidecars", "seeds"), [(30, 6), (170, 2)])
+def test_change_is_told_to_every_sidecar_though_the_primary_that_confirmed_it_is_lost(
+    sidecars: int, seeds: int
+) -> None:
+    """Sessions move meanwhile, those with the lost machine among them."""
+    set_small_sizes()
+    for seed in range(seeds):
+        shape = (CONTROL, CONTROL_OF_THREE)[seed % 2]
+        assert named.confirmed_and_lost(World(seed, shape, loss=0.5), sidecars) > 0.0
