Let windows say what live traffic leaves, and nothing of endpoints that could not be reached

Cause: a sidecar that moved nothing for 2 s got its window back with the first item that moved, and windows grew twice as fast where nothing came back.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -29,12 +29,12 @@
 )
 from eiderhub.batch.scheduler import Round, Scheduler
 from eiderhub.batch.turns import LateStarts, Turns, is_safe
-from eiderhub.batch.workers import Standing
+from eiderhub.batch.workers import ANSWERED_LATELY_S, Standing
 from eiderhub.coordination.messages import Write
 
-# While a job moves nowhere, sidecars that endpoints are not known to have answered lately are asked so often
-# to find out. Lately is longer than the time between two reports.
-PROBE_S, ANSWERED_LATELY_S = 0.5, 1.25
+PROBE_S = (
+    0.5  # while a job moves nowhere, sidecars not answered lately are asked so often to probe an endpoint
+)
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 
 
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -201,14 +201,16 @@
 
     def round(self, now: float) -> Round:
         """The sidecars that have room now."""
-        some_move = any(worker.moves_now(now) for worker in self.workers.values())
+        moving = sum(worker.moves_now(now) for worker in self.workers.values())
+        # Where most move nothing, those that do may have the others' share.
+        share = self._share(moving) if 0 < moving < len(self.workers) / 2 else 0.0
         room: dict[Worker, float] = {}
         for worker in self.workers.values():
             # Where none is known to do better, each is tried all the time.
-            free = worker.free(now, self._running(worker.node), wanted=not some_move)
+            free = worker.free(now, self._running(worker.node), wanted=not moving, share=share)
             if free >= 1.0:
                 room[worker] = free
-        return Round(now, room, some_move, self._may_begin(now))
+        return Round(now, room, moving > 0, self._may_begin(now))
 
     def moving(self) -> list[str]:
         """The sidecars that have moved items, and given none back since."""
@@ -236,7 +238,7 @@
         if worker is not None and key not in self._begun:
             self._begun[key] = worker
             worker.begun += 1
-            worker.moved(now, self._share(len(self.moving()) + 1))
+            worker.moved(now)
 
     def answered(self, now: float, node: str) -> None:
         """Endpoints have answered calls of this node's, live ones perhaps."""
@@ -267,7 +269,7 @@
             return
         worker.answered(now)
         if self._running(node) >= worker.window - 1:
-            worker.grow(now)
+            worker.grow()
 
     def forget(self, key: ItemKey) -> None:
         """The item needs no sidecar any more: it is done, or its job has ended."""
--- a/eiderhub/batch/workers.py
+++ b/eiderhub/batch/workers.py
@@ -12,14 +12,13 @@
 from eiderhub.batch.messages import Reach
 
 START_WINDOW, LEAST_WINDOW, MOST_WINDOW = 6.0, 1.0, 64.0
-# Per item that was finished while the window was in use; the second where nothing was given back lately.
-GROW, GROW_AGAIN = 0.5, 1.0
+GROW = 0.5  # per item that was finished while the window was in use
 SHRINK = 0.7  # what a refusal leaves of the window
 PAUSE_S = 0.1  # a sidecar that refused is left alone for so long
 STUCK_PAUSE_S, MOST_STUCK_PAUSE_S = 0.5, 2.0  # one that is stuck; doubled each time, up to
-# A sidecar that moves an item after so long without one begins anew: its window says what it was refused
-# while it could do nothing.
-TESTED_S = 2.0
+TESTED_S = 2.0  # a sidecar at which an item began so lately is given more than one at a time
+# An answer of endpoints that is no older says that they can be reached; longer than between two reports.
+ANSWERED_LATELY_S = 1.25
 NEVER = float("-inf")
 
 
@@ -90,13 +89,16 @@
         """Whether it moves items, or did lately: refusals alone may mean that it is full."""
         return self.standing is Standing.MOVING or now - self._moved_at <= TESTED_S
 
-    def free(self, now: float, running: int, wanted: bool = False) -> float:
-        """How many more items it may be given: one beside those that have begun, unless it is tested."""
+    def free(self, now: float, running: int, wanted: bool = False, share: float = 0.0) -> float:
+        """How many more items it may be given: one beside those that have begun, unless it is tested.
+
+        `share`: what one that moves items may have at least.
+        """
         if self.stopping or self.is_paused(now, wanted):
             return 0.0
-        if self.is_tested(now):
-            return self.window - running
-        return min(self.window, self.begun + LEAST_WINDOW) - running
+        if not self.is_tested(now):
+            return min(self.window, self.begun + LEAST_WINDOW) - running
+        return max(self.window, share if self.standing is Standing.MOVING else 0.0) - running
 
     def knows(self, route: str) -> bool:
         """Whether it may know a route."""
@@ -121,10 +123,8 @@
             self._moved_at = now if running else NEVER
         self._judge()
 
-    def moved(self, now: float, window: float) -> None:
-        """An item has begun there; `window`: what it gets if none has for long."""
-        if self._returned_at > self._moved_at and now - self._moved_at > TESTED_S:
-            self.window = max(self.window, window)
+    def moved(self, now: float) -> None:
+        """An item has begun there."""
         self._moved_at = now
         self._times_stuck = 0
         self.answered(now)
@@ -141,10 +141,11 @@
         self._judge()
 
     def refused(self, now: float) -> None:
-        """It had no room."""
+        """It had no room: live traffic leaves none, unless it reaches no endpoint."""
         self.failed(now)
         if now >= self._refused_until:
-            self.window = max(LEAST_WINDOW, self.window * SHRINK)
+            if now - self._answered_at <= ANSWERED_LATELY_S:
+                self.window = max(LEAST_WINDOW, self.window * SHRINK)
             self._refused_until = now + PAUSE_S
 
     def stuck(self, now: float) -> None:
@@ -154,10 +155,8 @@
         if now >= self._stuck_until:
             pause_s = min(STUCK_PAUSE_S * 2**self._times_stuck, MOST_STUCK_PAUSE_S)
             self._times_stuck += 1
-            self.window = LEAST_WINDOW
             self._stuck_until = now + pause_s
 
-    def grow(self, now: float) -> None:
+    def grow(self) -> None:
         """It has done an item while its window was in use."""
-        step = GROW if now - self._returned_at <= TESTED_S else GROW_AGAIN
-        self.window = min(MOST_WINDOW, self.window + step)
+        self.window = min(MOST_WINDOW, self.window + GROW)
