Leave the others' share to sidecars only where most are cut off, not where most are idle

Cause: where under half of the sidecars moved items just then, those that did had the others' share of all places. Change: a sidecar leaves its share only if it gave an item back and no endpoint has answered it of late. An unused method of the job table goes; its tests use what the dispatcher does.

--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -450,13 +450,6 @@
             item.progress = progress
         return item
 
-    def lost_node(self, node: str) -> int:
-        """The items that ran at a node wait again; how many."""
-        items = self.running_at(node)
-        for item in items:
-            self.release(item)
-        return len(items)
-
     def hopeless(self, wall: float, routes: set[str] | None) -> list[Item]:
         """Items that end as dead letters: out of attempts or of time, or their route is gone.
 
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -201,16 +201,24 @@
 
     def round(self, now: float) -> Round:
         """The sidecars that have room now."""
-        moving = sum(worker.moves_now(now) for worker in self.workers.values())
-        # Where most move nothing, those that do may have the others' share.
-        share = self._share(moving) if 0 < moving < len(self.workers) / 2 else 0.0
+        workers = self.workers.values()
+        some_move = any(worker.moves_now(now) for worker in workers)
+        share = self._share_of_able(now)
         room: dict[Worker, float] = {}
-        for worker in self.workers.values():
+        for worker in workers:
             # Where none is known to do better, each is tried all the time.
-            free = worker.free(now, self._running(worker.node), wanted=not moving, share=share)
+            free = worker.free(now, self._running(worker.node), wanted=not some_move, share=share)
             if free >= 1.0:
                 room[worker] = free
-        return Round(now, room, moving > 0, self._may_begin(now))
+        return Round(now, room, some_move, self._may_begin(now))
+
+    def _share_of_able(self, now: float) -> float:
+        """What a sidecar that moves items may have where most are cut off, which leave the others their share.
+
+        0: no such share. One that has nothing to run, or is full, leaves nothing.
+        """
+        able = sum(not worker.is_cut_off(now) for worker in self.workers.values())
+        return self._share(able) if 0 < able < len(self.workers) / 2 else 0.0
 
     def moving(self) -> list[str]:
         """The sidecars that have moved items, and given none back since."""
--- a/eiderhub/batch/workers.py
+++ b/eiderhub/batch/workers.py
@@ -85,6 +85,14 @@
         """Whether items are known to move there at this time."""
         return self.begun > 0 or now - self._moved_at <= TESTED_S
 
+    def is_cut_off(self, now: float) -> bool:
+        """Whether it has given an item back, and no endpoint is known to have answered it of late."""
+        return self.standing >= Standing.RETURNING and not self.was_answered_lately(now)
+
+    def was_answered_lately(self, now: float) -> bool:
+        """Whether endpoints are known to answer it now."""
+        return now - self._answered_at <= ANSWERED_LATELY_S
+
     def is_tested(self, now: float) -> bool:
         """Whether it moves items, or did lately: refusals alone may mean that it is full."""
         return self.standing is Standing.MOVING or now - self._moved_at <= TESTED_S
@@ -92,7 +100,7 @@
     def free(self, now: float, running: int, wanted: bool = False, share: float = 0.0) -> float:
         """How many more items it may be given: one beside those that have begun, unless it is tested.
 
-        `share`: what one that moves items may have at least.
+        `share`: what one that moves items may have at least, however often it refused.
         """
         if self.stopping or self.is_paused(now, wanted):
             return 0.0
@@ -144,7 +152,7 @@
         """It had no room: live traffic leaves none, unless it reaches no endpoint."""
         self.failed(now)
         if now >= self._refused_until:
-            if now - self._answered_at <= ANSWERED_LATELY_S:
+            if self.was_answered_lately(now):
                 self.window = max(LEAST_WINDOW, self.window * SHRINK)
             self._refused_until = now + PAUSE_S
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -146,7 +146,7 @@
     primary.submit("j", "i")
     item = primary.table.jobs["j"].items["i"]
     primary.table.start(WALL, item, "n1")
-    primary.table.lost_node("n1")
+    primary.table.release(item)
     primary.table.start(WALL, item, "n2")
     assert not primary.table.announced("n1", item.key)  # it is told to stop
     assert primary.table.returned("n1", item.key, 1, Progress(3, ["late"])) is None
@@ -160,7 +160,9 @@
     primary.submit("j", "a", "b")
     for item in list(primary.table.open_jobs()[0].waiting()):
         primary.table.start(WALL, item, "n1" if item.id == "a" else "n2")
-    assert primary.table.lost_node("n1") == 1
+    for item in primary.table.running_at("n1"):
+        primary.table.release(item)
+    assert [i.id for i in primary.table.running_at("n2")] == ["b"]
     assert [i.id for i in primary.table.open_jobs()[0].waiting()] == ["a"]
 
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -275,7 +275,34 @@
     assert taken == ["a"] * 40
     made.started(10.0, "b", key(1))
     made.started(10.0, "c", key(2))
-    assert made.workers["a"].free(10.0, 0) == START_WINDOW
+    assert all_taken(made, 10.0)["a"] == START_WINDOW
+
+
+def all_taken(made: Scheduler, now: float) -> Counter[str]:
+    """How many items each sidecar is given by a round, where more wait than can be given."""
+    taken: Counter[str] = Counter()
+    round_ = made.round(now)
+    while (worker := round_.choose(ROUTE, {}, safe=True)) is not None:
+        round_.given(worker)
+        taken[worker.node] += 1
+    return taken
+
+
+def test_sidecars_that_have_nothing_to_run_leave_no_share() -> None:
+    made = scheduler("a", "b", "c", "d")
+    made.follow(endpoints=100, places=80)
+    made.started(10.0, "a", key(0))  # the others have run nothing for ten seconds
+    assert all_taken(made, 10.0)["a"] == START_WINDOW
+
+
+def test_sidecars_that_refuse_since_live_traffic_fills_them_leave_no_share() -> None:
+    made = scheduler("a", "b", "c", "d")
+    made.follow(endpoints=100, places=80)
+    made.started(10.0, "a", key(0))
+    for node in ("b", "c", "d"):
+        made.answered(10.0, node)
+        returned(made, 10.0, node, ReturnReason.REFUSED)
+    assert all_taken(made, 10.05)["a"] == START_WINDOW
 
 
 def test_sidecar_tells_what_it_knows_of_itself_to_a_new_primary() -> None:
