--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -213,7 +213,7 @@
         return Round(now, room, some_move, self._may_begin(now))
 
     def _share_of_able(self, now: float) -> float:
-        """What a sidecar that moves items may have where most are cut off, which leave the others their share.
+        """The window that each may have where most are cut off: these leave the others their share.
 
         0: no such share. One that has nothing to run, or is full, leaves nothing.
         """
