--- a/tests/engine_support.py
+++ b/tests/engine_support.py
@@ -13,6 +13,7 @@
 from eiderhub.dataplane.events import Event
 from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route
+from tests.http_reading import read_request
 
 BOUND_S = 20.0
 SERVICE = "svc"
@@ -72,10 +73,7 @@
         self.connections += 1
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                pairs = [line.split(": ", 1) for line in head.split("\r\n")[1:] if line]
-                headers = {name.lower(): value for name, value in pairs}
-                await reader.readexactly(int(headers.get("content-length", 0)))
+                headers = await read_request(reader)
                 self.requests.append(headers.get("request-id", ""))
                 self.arrived.set()
                 await self.script(Request(self, writer, headers))
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -6,6 +6,8 @@
 import random
 from collections import Counter
 
+from tests.http_reading import read_request
+
 EVENTS = 4
 EVENT_S = 0.01  # between events, on the mean
 POISON = "p"  # an item whose id ends so can't be done by any endpoint
@@ -56,10 +58,7 @@
         self._open[writer] = ""
         try:
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                pairs = [line.split(": ", 1) for line in head.split("\r\n")[1:] if line]
-                headers = {name.lower(): value for name, value in pairs}
-                await reader.readexactly(int(headers.get("content-length", 0)))
+                headers = await read_request(reader)
                 self._open[writer] = headers.get("request-id", "")
                 if not await self._answer(headers, writer):
                     await reader.read()  # it hangs for as long as its caller waits
