--- a/tests/test_placement_model.py
+++ b/tests/test_placement_model.py
@@ -19,18 +19,9 @@
 from eiderhub.batch.turns import Turns
 from eiderhub.batch.workers import Standing, Worker
 from tests.model.items import Broken
-from tests.model.placement import (
-    FOR_GOOD,
-    NEW_ROUTE,
-    QUEUE_SILENCE_S,
-    Failing,
-    Lot,
-    PlacementWorld,
-    Plan,
-    SidecarPlan,
-    Span,
-    draw,
-)
+from tests.model.placement import PlacementWorld
+from tests.model.placement_plan import FOR_GOOD, NEW_ROUTE, Failing, Lot, Plan, SidecarPlan, Span, draw
+from tests.model.placement_sidecar import QUEUE_SILENCE_S
 
 COUNT = int(os.environ.get("OTTERCLEAT_PLACEMENT_SCHEDULES", "400"))
 FIRST = int(os.environ.get("OTTERCLEAT_FIRST_PLACEMENT_SEED", "0"))
