Look up the jobs at moving sidecars once a probe round, not once for each open job

Cause: _ask_for_probes built the same set for each open job, each half second; Scheduler.was_answered compared times as Worker.was_answered_lately does. Change: the set is built once; the scheduler asks the worker. What is decided stays the same.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -29,12 +29,11 @@
 )
 from eiderhub.batch.scheduler import Round, Scheduler
 from eiderhub.batch.turns import LateStarts, Turns, is_safe
-from eiderhub.batch.workers import ANSWERED_LATELY_S, Standing
+from eiderhub.batch.workers import Standing
 from eiderhub.coordination.messages import Write
 
-PROBE_S = (
-    0.5  # while a job moves nowhere, sidecars not answered lately are asked so often to probe an endpoint
-)
+# While a job moves nowhere, sidecars not answered lately are asked so often to probe an endpoint.
+PROBE_S = 0.5
 RETURN_S = 0.8  # sidecars have so long to announce what they run, after a new primary or a lost session
 
 
@@ -157,11 +156,11 @@
 
     def _ask_for_probes(self, now: float) -> None:
         """Where a job moves nowhere, have sidecars find out whether they reach endpoints."""
-        moving = self.scheduler.moving()
-        if all(is_safe(now, job, self.table.jobs_at(moving)) for job in self.table.open_jobs()):
+        moving = self.table.jobs_at(self.scheduler.moving())
+        if all(is_safe(now, job, moving) for job in self.table.open_jobs()):
             return
         for session in self._sessions.values():
-            if not self.scheduler.was_answered(session.node, now - ANSWERED_LATELY_S):
+            if not self.scheduler.was_answered_lately(now, session.node):
                 self._send(session, ProbeEndpoints())
 
     def _take_back(self, node: str, why: Why, items: list[Item]) -> None:
--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -254,10 +254,10 @@
         if worker is not None:
             worker.answered(now)
 
-    def was_answered(self, node: str, since: float) -> bool:
-        """Whether endpoints are known to have answered calls of the node's since then."""
+    def was_answered_lately(self, now: float, node: str) -> bool:
+        """Whether endpoints are known to answer calls of the node's now."""
         worker = self.workers.get(node)
-        return worker is not None and worker.answered_at >= since
+        return worker is not None and worker.was_answered_lately(now)
 
     def routes_by(self, node: str, generation: int) -> None:
         """The node routes by that generation of the configuration."""
