Run seeds and plant faults in one place for the models of items and placement

Cause: both test files had the same block runner, pool and search for a planted fault, and the control side's a third way to patch several things at once. Change: tests/model/seeds.py has them; assertions, seeds and bounds are as they were.

--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, NamedTuple
-from unittest import mock
 
 import msgspec
 
@@ -26,8 +25,7 @@
 from tests.model import members, world
 from tests.model.disk import Disk, LazyDisk
 from tests.model.members import Machine
-
-Patch = tuple[Any, str, Any]
+from tests.model.seeds import Patch, patched
 
 
 class PlantedFault(NamedTuple):
@@ -39,20 +37,10 @@
 
     @contextmanager
     def planted(self) -> Iterator[None]:
-        with _all(self.patches):
+        with patched(self.patches):
             yield
 
 
-@contextmanager
-def _all(patches: tuple[Patch, ...]) -> Iterator[None]:
-    if not patches:
-        yield
-        return
-    target, name, value = patches[0]
-    with mock.patch.object(target, name, value), _all(patches[1:]):
-        yield
-
-
 class ForgetfulDisk(Disk):
     """What the witness granted is gone once the process has ended."""
 
--- a/tests/test_items_model.py
+++ b/tests/test_items_model.py
@@ -7,11 +7,8 @@
 
 import os
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
-from contextlib import ExitStack
 from functools import partial
 from typing import Any, NamedTuple
-from unittest import mock
 
 import pytest
 
@@ -21,6 +18,7 @@
 from eiderhub.batch.scheduler import Round, Scheduler
 from eiderhub.batch.workers import Worker
 from tests.model.items import Broken, StorageGroup, World
+from tests.model.seeds import Patch, broken_by, first_seed_that_breaks
 
 COUNT = int(os.environ.get("OTTERCLEAT_ITEM_SCHEDULES", "1000"))
 FIRST = int(os.environ.get("OTTERCLEAT_FIRST_ITEM_SEED", "0"))
@@ -28,28 +26,18 @@
 MOST_SEEDS = 150  # in which a planted fault is to be found
 
 
-def play_block(first: int, standstills: bool = False) -> list[str]:
-    found = []
-    for seed in range(first, first + BLOCK):
-        try:
-            World(seed, standstills).play()
-        except Broken as error:
-            found.append(str(error))
-    return found
+def play(seed: int, standstills: bool = False) -> None:
+    World(seed, standstills).play()
 
 
 def test_no_schedule_loses_an_item() -> None:
-    with ProcessPoolExecutor(os.cpu_count()) as pool:
-        blocks = range(FIRST, FIRST + COUNT, BLOCK)
-        found = [each for block in pool.map(play_block, blocks) for each in block]
+    found = broken_by(play, FIRST, COUNT, BLOCK)
     assert not found, "\n".join(found[:5])
 
 
 def test_no_schedule_leaves_an_item_lying_though_sidecars_move_nothing() -> None:
     """An item that some sidecar can run is worked on within the bound, whichever sidecars move nothing."""
-    with ProcessPoolExecutor(os.cpu_count()) as pool:
-        blocks = range(FIRST, FIRST + COUNT, BLOCK)
-        found = [each for block in pool.map(partial(play_block, standstills=True), blocks) for each in block]
+    found = broken_by(partial(play, standstills=True), FIRST, COUNT, BLOCK)
     assert not found, "\n".join(found[:5])
 
 
@@ -66,7 +54,7 @@
 
 class Fault(NamedTuple):
     name: str
-    patches: tuple[tuple[Any, str, Any], ...]
+    patches: tuple[Patch, ...]
     standstills: bool = False
 
 
@@ -175,15 +163,8 @@
 
 def found_in(fault: Fault) -> int | None:
     """The first seed whose schedule finds the fault."""
-    with ExitStack() as planted:
-        for target, name, value in fault.patches:
-            planted.enter_context(mock.patch.object(target, name, value))
-        for seed in range(MOST_SEEDS):
-            try:
-                World(seed, fault.standstills).play()
-            except (Broken, KeyError):
-                return seed
-    return None
+    play_it = partial(play, standstills=fault.standstills)
+    return first_seed_that_breaks(play_it, fault.patches, MOST_SEEDS, (Broken, KeyError))
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
--- a/tests/test_placement_model.py
+++ b/tests/test_placement_model.py
@@ -6,10 +6,7 @@
 from __future__ import annotations
 
 import os
-from concurrent.futures import ProcessPoolExecutor
-from contextlib import ExitStack
 from typing import Any, NamedTuple
-from unittest import mock
 
 import pytest
 
@@ -18,10 +15,10 @@
 from eiderhub.batch.scheduler import Round, Scheduler
 from eiderhub.batch.turns import Turns
 from eiderhub.batch.workers import Standing, Worker
-from tests.model.items import Broken
 from tests.model.placement import PlacementWorld
 from tests.model.placement_plan import FOR_GOOD, NEW_ROUTE, Failing, Lot, Plan, SidecarPlan, Span, draw
 from tests.model.placement_sidecar import QUEUE_SILENCE_S
+from tests.model.seeds import Patch, broken_by, first_seed_that_breaks
 
 COUNT = int(os.environ.get("OTTERCLEAT_PLACEMENT_SCHEDULES", "400"))
 FIRST = int(os.environ.get("OTTERCLEAT_FIRST_PLACEMENT_SEED", "0"))
@@ -29,20 +26,12 @@
 MOST_SEEDS = 150  # in which a planted fault is to be found
 
 
-def play_block(first: int) -> list[str]:
-    found = []
-    for seed in range(first, first + BLOCK):
-        try:
-            PlacementWorld(draw(seed), seed).play()
-        except Broken as error:
-            found.append(str(error))
-    return found
+def play(seed: int) -> None:
+    PlacementWorld(draw(seed), seed).play()
 
 
 def test_no_drawn_plan_leaves_a_lot_without_an_endpoint() -> None:
-    with ProcessPoolExecutor(os.cpu_count()) as pool:
-        blocks = range(FIRST, FIRST + COUNT, BLOCK)
-        found = [each for block in pool.map(play_block, blocks) for each in block]
+    found = broken_by(play, FIRST, COUNT, BLOCK)
     assert not found, f"{len(found)} of {COUNT}:\n" + "\n".join(found[:5])
 
 
@@ -145,7 +134,7 @@
 
 class Fault(NamedTuple):
     name: str
-    patches: tuple[tuple[Any, str, Any], ...]
+    patches: tuple[Patch, ...]
 
 
 def _answered_without_ending_the_pause(self: Worker, now: float) -> None:
@@ -219,15 +208,7 @@
 
 def found_in(fault: Fault) -> int | None:
     """The first seed whose plan finds the fault."""
-    with ExitStack() as planted:
-        for target, name, value in fault.patches:
-            planted.enter_context(mock.patch.object(target, name, value))
-        for seed in range(MOST_SEEDS):
-            try:
-                PlacementWorld(draw(seed), seed).play()
-            except Broken:
-                return seed
-    return None
+    return first_seed_that_breaks(play, fault.patches, MOST_SEEDS)
 
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
