Count bytes that cross zones by kind of message, at /metrics of each program

Change: each connection knows its peer's zone where that was told; one count a process, sent messages by their name, calls to endpoints as request and item. No behaviour changes.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -36,6 +36,7 @@
     Tenant,
 )
 from eiderhub.sidecar.clock import Alarm, now_us
+from eiderhub.transport.traffic import TRAFFIC
 
 NO_EVENT = -1
 LOWEST_CREDIT, PRIORITY_STEP = 0.1, 0.35  # worth of a class by its priority, against the highest
@@ -138,6 +139,11 @@
         self.final = False  # no attempt may follow the one under way: its route leads elsewhere now
         self.response: tuple[int, Headers, bytes] | None = None  # an endpoint's failure, to be passed on
 
+    @property
+    def traffic_kind(self) -> str:
+        """What its bytes to and from endpoints are counted as."""
+        return "item" if self.route.kind == "batch" else "request"
+
 
 class Attempt:
     """One send of a call; listens to its exchange."""
@@ -157,8 +163,10 @@
         self.over = False
         self._activity = admission.activity(endpoint)
         self._activity.sent(call.tokens[0])
+        self._crosses = admission.crosses_to(endpoint)
 
     def on_head(self, status: int, headers: Headers, reused: bool) -> None:
+        self._count_received(sum(len(name) + len(value) for name, value in headers))
         named = {name.lower(): value for name, value in headers}
         if not self._is_ours(named.get(b"request-id"), status, reused):
             self._broken()
@@ -167,6 +175,15 @@
         if status == 200 and named.get(b"content-type", b"").startswith(b"text/event-stream"):
             self._parser = EventParser()
 
+    def _count_received(self, size: int) -> None:
+        if self._crosses:
+            TRAFFIC.received(self._call.traffic_kind, size)
+
+    def count_sent(self, size: int) -> None:
+        """The request has been written; it is counted where it goes to another zone."""
+        if self._crosses:
+            TRAFFIC.sent(self._call.traffic_kind, size)
+
     def _is_ours(self, answered: bytes | None, status: int, reused: bool) -> bool:
         """Whether the answer is to this request: endpoints echo its id.
 
@@ -180,6 +197,7 @@
     def on_data(self, data: bytes) -> None:
         if self.over:
             return
+        self._count_received(len(data))
         if self._parser is None:
             self._size += len(data)
             if self._size > MOST_BODY:
@@ -273,6 +291,7 @@
         self._pools: dict[str, EnginePool] = {}
         self._activities: dict[str, EndpointActivity] = {}
         self._records: list[EndpointRecord] = []
+        self._zones: dict[str, str] = {}  # by endpoint
         self._classes: dict[str, RequestClass] = {}
         self._tenants: dict[str, Tenant] = {}  # of batch routes
         self._fleet = (0, 1)  # rank, sidecars
@@ -305,6 +324,10 @@
         """For how long the look at held calls that is due longest has been due; 0: none is."""
         return max((max(0, now - b.sweep_at) for b in self._balancers if b.sweep_at >= 0), default=0)
 
+    def crosses_to(self, endpoint: str) -> bool:
+        """Whether what is sent to the endpoint leaves this zone."""
+        return TRAFFIC.crosses(self._zones.get(endpoint, ""))
+
     def activity(self, endpoint: str) -> EndpointActivity:
         return self._activities.setdefault(endpoint, EndpointActivity())
 
@@ -342,6 +365,7 @@
             return
         self._records = records
         known = {record.id: record for record in records}
+        self._zones = {record.id: record.zone for record in records}
         for identity in [i for i in self._pools if i not in known]:
             self._pools.pop(identity).close()
             self._activities.pop(identity, None)
@@ -521,7 +545,9 @@
             lines.append(b"Last-Event-Id: %d\r\n" % made.last_event)
         lines.append(b"\r\n")
         lines.append(body)
-        made.exchange = pool.ask(b"".join(lines), attempt)
+        data = b"".join(lines)
+        attempt.count_sent(len(data))
+        made.exchange = pool.ask(data, attempt)
 
     def cancel(self, call: str, attempt: int) -> None:
         """Nothing: the exchange of a call that has ended is dropped with it."""
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -174,9 +174,17 @@
 class ItemRunner:
     """Keeps the session; `candidates` gives the addresses of storage nodes."""
 
-    def __init__(self, node: str, zone: str, router: Router, candidates: Callable[[], list[str]]) -> None:
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        router: Router,
+        candidates: Callable[[], list[str]],
+        zone_of: Callable[[str], str] = lambda target: "",
+    ) -> None:
         self._router = router
         self._candidates = candidates
+        self._zone_of = zone_of  # by address
         self._items: dict[ItemKey, RunningItem] = {}  # that run
         self._ledger = ItemLedger(node, zone)
         self._connection: Connection | None = None
@@ -235,6 +243,7 @@
             host, port = address.parse(target)
             connection = await connect(self, host, port)
             if connection is not None:
+                connection.peer_zone = self._zone_of(target)
                 await self._keep(connection)
             if self._hint:
                 return
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -40,6 +40,7 @@
 from eiderhub.transport.control_session import ControlSession
 from eiderhub.transport.framing import Connection, Message
 from eiderhub.transport.group import CommitUnknown, NotPrimary
+from eiderhub.transport.traffic import TRAFFIC
 
 PUBLISH_S = 0.1  # how often the session table is looked at for changes
 SETTLE_S = 1.2  # a new primary waits so long for sessions to come back before it publishes who is there
@@ -102,6 +103,7 @@
             return
         if isinstance(message, SessionOpen):
             self._sessions[connection] = Session(message.node, Subscriber())
+            connection.peer_zone = message.node.zone
         elif isinstance(message, SessionPing):
             self._on_ping(connection, message)
         elif isinstance(message, LeaseRequest):
@@ -288,6 +290,7 @@
             f"generation {self.tables.configuration.generation}",
             f"endpoints {len(self.tables.endpoints.endpoints)}",
             f"nodes {len(self.tables.nodes.nodes)}",
+            *TRAFFIC.lines(),
         ]
 
     async def stop(self) -> None:
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -6,6 +6,7 @@
 import random
 import time
 import zlib
+from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
 import picologging as logging
@@ -22,9 +23,10 @@
 from eiderhub.dataplane.routes import Route, RouteTable
 from eiderhub.http1 import Exchange
 from eiderhub.programs.settings import TierSettings
-from eiderhub.transport.control_session import ControlSession, control_candidates
+from eiderhub.transport.control_session import ControlSession, control_candidates, zone_of
 from eiderhub.transport.spending import Charge, Spending
 from eiderhub.transport.tasks import TaskSet
+from eiderhub.transport.traffic import TRAFFIC
 
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
@@ -55,7 +57,9 @@
         self._session = ControlSession(
             self._node, self.tables, self._control_nodes, self._on_tables, on_lease=self._spending.answered
         )
-        self._runner = ItemRunner(settings.node_name, settings.zone, self, self._storage_nodes)
+        self._runner = ItemRunner(
+            settings.node_name, settings.zone, self, self._storage_nodes, partial(zone_of, self.tables)
+        )
         self._tasks = TaskSet()
 
     # --- the control plane ---
@@ -261,7 +265,7 @@
         lines += [f"generation {self.tables.configuration.generation}"]
         for name, admission in self._admissions.items():
             lines += [f'{figure}{{service="{name}"}} {value}' for figure, value in admission.figures()]
-        return lines + self._runner.metrics()
+        return lines + self._runner.metrics() + TRAFFIC.lines()
 
     # --- the end ---
 
--- a/eiderhub/programs/starting.py
+++ b/eiderhub/programs/starting.py
@@ -13,6 +13,7 @@
 
 from eiderhub.programs.settings import TierSettings, load
 from eiderhub.reading import DocumentError
+from eiderhub.transport.traffic import TRAFFIC
 
 USAGE_STATUS = 2
 
@@ -45,6 +46,7 @@
         print(error, file=sys.stderr)
         raise SystemExit(USAGE_STATUS) from None
     set_up_logs(settings.node_name)
+    TRAFFIC.zone = settings.zone
     gc.freeze()
 
     async def main() -> None:
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -39,6 +39,7 @@
 from eiderhub.transport.group import CommitUnknown, NotPrimary
 from eiderhub.transport.spending import Spending
 from eiderhub.transport.tasks import TaskSet
+from eiderhub.transport.traffic import TRAFFIC
 
 DISPATCH_S = 0.02
 FAULT_PAUSE_S = 1.0  # after a fault of the program itself, before the dispatcher goes on
@@ -156,6 +157,7 @@
     def _open(self, connection: Connection, message: WorkerOpen) -> None:
         session = self._dispatch.open(self._now(), message)
         self._sessions[connection] = session
+        connection.peer_zone = message.zone
         self._connections[session] = connection
         self._flush()
 
@@ -297,6 +299,7 @@
             f"committed {replica.committed}",
             f"store_used_bytes {self._store.used_bytes}",
             f"store_limit_bytes {self._store.limit_bytes}",
+            *TRAFFIC.lines(),
         ]
         if not self.group.leads():
             return lines
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -76,6 +76,7 @@
         opened = time.monotonic()
         self._ended.clear()
         self.connection = connection
+        connection.peer_zone = zone_of(self._tables, target)
         connection.send(SessionOpen(self._node))
         while not connection.closed:
             connection.send(self._ping())
@@ -135,6 +136,14 @@
             self._ended.set()
 
 
+def zone_of(tables: Tables, target: str) -> str:
+    """The zone of the control or storage node that listens at this address; empty: it is not known."""
+    for node in tables.nodes.nodes:
+        if node.identity.partition("@")[2] == target:
+            return node.zone
+    return ""
+
+
 def control_candidates(
     tables: Tables, seeds: list[str], zone: str, shuffle: Callable[[list[str]], None]
 ) -> list[str]:
--- a/eiderhub/transport/framing.py
+++ b/eiderhub/transport/framing.py
@@ -13,6 +13,7 @@
 from eiderhub.batch.messages import BatchMessage
 from eiderhub.control.messages import SessionMessage
 from eiderhub.coordination.messages import ReplicaMessage
+from eiderhub.transport.traffic import TRAFFIC
 
 Message = ReplicaMessage | SessionMessage | BatchMessage
 
@@ -43,6 +44,7 @@
         self._on_open = on_open
         self._buffer = bytearray()
         self.closed = False
+        self.peer_zone = ""  # empty: not known
         self.heard_at = asyncio.get_running_loop().time()  # when anything came last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -61,6 +63,8 @@
         if self.closed:
             return
         data = _encode(message)
+        if TRAFFIC.crosses(self.peer_zone):
+            TRAFFIC.sent(type(message).__name__, LENGTH.size + len(data))
         self._transport.write(LENGTH.pack(len(data)) + data)
         if self._transport.get_write_buffer_size() > MOST_UNSENT:
             self.close()
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -57,7 +57,9 @@
             await asyncio.sleep(RECONNECT_S)
 
     def on_message(self, connection: Connection, message: Message) -> None:
-        """Nothing: the other side only says its name."""
+        """The other side only says its name."""
+        if isinstance(message, Hello):
+            connection.peer_zone = message.node.zone
 
     def on_closed(self, connection: Connection) -> None:
         self.connection = None
@@ -201,6 +203,7 @@
         for identity in [i for i in self._incoming if address_of(i) == address_of(node.identity)]:
             del self._incoming[identity]
         self._incoming[node.identity] = connection
+        connection.peer_zone = node.zone
         self.roster.greeted(node.identity, node.name, node.zone)
         connection.send(Hello(self.node))
         self.know(address_of(node.identity))
--- /dev/null
+++ b/tests/test_traffic.py
@@ -0,0 +1,95 @@
+"""Bytes between zones: what is counted, as which kind, and what leaves it alone."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+
+from eiderhub.control.messages import LeaseRequest, SessionPong
+from eiderhub.transport.framing import LENGTH, Connection, Message
+from eiderhub.transport.traffic import TRAFFIC, ZoneTraffic
+
+
+class Collected:
+    """A handler that keeps what came."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+        self.closed = False
+
+    def on_message(self, connection: Connection, message: Message) -> None:
+        self.messages.append(message)
+
+    def on_closed(self, connection: Connection) -> None:
+        self.closed = True
+
+
+class Wire(asyncio.Transport):
+    """Keeps what was written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.written += bytes(data)
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        """Nothing: there is no socket."""
+
+
+@pytest.fixture
+def traffic() -> Iterator[ZoneTraffic]:
+    """The process's own counts, in zone "a", empty before and after."""
+    TRAFFIC.reset()
+    TRAFFIC.zone = "a"
+    yield TRAFFIC
+    TRAFFIC.reset()
+
+
+async def connection_to(zone: str) -> tuple[Connection, Wire, Collected]:
+    handler = Collected()
+    connection = Connection(handler)
+    wire = Wire()
+    connection._transport = wire
+    connection.peer_zone = zone
+    return connection, wire, handler
+
+
+PONG = SessionPong(1.5, 0.25)
+
+
+def test_messages_to_another_zone_are_counted_by_kind_as_written(traffic: ZoneTraffic) -> None:
+    connection, wire, _ = asyncio.run(connection_to("b"))
+    connection.send(PONG)
+    connection.send(LeaseRequest("o", "t", 5))
+    pong = LENGTH.unpack_from(wire.written)[0] + LENGTH.size
+    lease = len(wire.written) - pong
+    assert traffic.lines() == [
+        f'cross_zone_bytes{{direction="sent",kind="LeaseRequest"}} {lease}',
+        f'cross_zone_bytes{{direction="sent",kind="SessionPong"}} {pong}',
+    ]
+
+
+@pytest.mark.parametrize("zone", ["a", ""])
+def test_messages_within_the_zone_or_to_an_unknown_one_are_not_counted(
+    traffic: ZoneTraffic, zone: str
+) -> None:
+    connection, wire, _ = asyncio.run(connection_to(zone))
+    connection.send(PONG)
+    assert wire.written
+    assert traffic.lines() == []
+
+
+def test_answers_are_counted_by_whoever_receives_them() -> None:
+    traffic = ZoneTraffic()
+    traffic.zone = "a"
+    assert traffic.crosses("b") and not traffic.crosses("a") and not traffic.crosses("")
+    traffic.received("request", 100)
+    traffic.received("request", 20)
+    assert traffic.lines() == ['cross_zone_bytes{direction="received",kind="request"} 120']
