--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -72,6 +72,7 @@
     attached: list[NodeRecord] = []  # sessions that a control node holds for the primary
     group: StorageReport | None = None  # from the storage group's primary
     sent_at: float = 0.0  # sender's clock, in seconds; returned with the answer
+    calls: dict[str, int] = {}  # that are out now, by endpoint; of a control node: over its own sessions
 
 
 class SessionPong(Struct, tag=True, frozen=True):
@@ -84,6 +85,12 @@
     age_s: float | None
 
 
+class LoadUpdate(Struct, tag=True, frozen=True):
+    """Calls that all other processes have out, by endpoint; those that are not named have none."""
+
+    calls: dict[str, int]
+
+
 class ConfigurationUpdate(Struct, tag=True, frozen=True):
     generation: int
     document: bytes  # JSON
@@ -144,4 +151,6 @@
 TableUpdate = (
     ConfigurationUpdate | ConfigurationDelta | EndpointsUpdate | EndpointsDelta | NodesUpdate | SpendingUpdate
 )
-SessionMessage = Hello | SessionOpen | SessionPing | SessionPong | TableUpdate | LeaseRequest | LeaseAnswer
+SessionMessage = (
+    Hello | SessionOpen | SessionPing | SessionPong | LoadUpdate | TableUpdate | LeaseRequest | LeaseAnswer
+)  # fmt: skip
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from functools import partial
 from typing import Protocol
 
@@ -53,6 +53,7 @@
 BATCH_TENANT = "batch"
 ITEM_TOKENS = 1_000  # of a batch item, where a quota in tokens is turned into calls
 NOT_EXECUTED = b"not-executed"
+OTHERS_KEPT_US = 1_000_000  # what other sidecars have out counts for so long after it was told
 
 log = logging.getLogger("admission")
 
@@ -292,6 +293,9 @@
         self._activities: dict[str, EndpointActivity] = {}
         self._records: list[EndpointRecord] = []
         self._zones: dict[str, str] = {}  # by endpoint
+        self._places: dict[str, int] = {}  # that each endpoint works on at once; 0: not known
+        self._others: Mapping[str, int] = {}  # calls that other sidecars have out, by endpoint
+        self._others_at = -OTHERS_KEPT_US
         self._classes: dict[str, RequestClass] = {}
         self._tenants: dict[str, Tenant] = {}  # of batch routes
         self._fleet = (0, 1)  # rank, sidecars
@@ -333,10 +337,25 @@
 
     def _weigh(self, balancer: Balancer, now: int) -> None:
         """Have the two draws compare what the endpoints look like now, not only how many calls are out."""
+        others = self._others if now - self._others_at <= OTHERS_KEPT_US else {}
         for identity, state in balancer.endpoints.items():
             activity = self._activities.get(identity)
             if activity is not None:
-                state.weight = (state.in_flight + 1) / activity.load(now)
+                places = self._places.get(identity, 0)
+                elsewhere = others.get(identity, 0)
+                state.weight = (state.in_flight + 1) / activity.load(now, elsewhere, places)
+
+    def calls_out(self) -> dict[str, int]:
+        """Calls that are out now, by endpoint; those that have none are left out."""
+        return {identity: a.calls for identity, a in self._activities.items() if a.calls > 0}
+
+    def follow_others(self, calls: Mapping[str, int]) -> None:
+        """The calls that all other sidecars have out, by endpoint."""
+        self._others = calls
+        self._others_at = self.now_us()
+        for balancer in self._deciding():
+            if balancer.queue.count:
+                self._weigh(balancer, self._others_at)
 
     # --- what is told to it ---
 
@@ -366,6 +385,7 @@
         self._records = records
         known = {record.id: record for record in records}
         self._zones = {record.id: record.zone for record in records}
+        self._places = {record.id: record.capacity or self._capacity for record in records}
         for identity in [i for i in self._pools if i not in known]:
             self._pools.pop(identity).close()
             self._activities.pop(identity, None)
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -13,11 +14,13 @@
 from eiderhub import address
 from eiderhub.control import retirement
 from eiderhub.control.distribution import Subscriber, Tables
+from eiderhub.control.load import MOST_TOLD, LoadTable, nearest
 from eiderhub.control.messages import (
     EndpointRecord,
     EndpointsUpdate,
     LeaseAnswer,
     LeaseRequest,
+    LoadUpdate,
     NodeRecord,
     NodesUpdate,
     SessionOpen,
@@ -64,6 +67,7 @@
         self.tables = Tables()
         self._sessions: dict[Connection, Session] = {}
         self._table = SessionTable()
+        self._load = LoadTable()
         least = copies_needed(settings.fault_tolerance)
         self._host = ReplicaHost(store, node, self._rng, GroupSize(None, least), self._on_change)
         self.group = self._host.group
@@ -80,7 +84,13 @@
         self._passed_on: dict[str, tuple[Connection, str]] = {}  # lease requests on their way to the primary
         self._serial = itertools.count(1)
         self._session = ControlSession(
-            node, self.tables, self._primary_address, self._push, self._describe, self._on_lease_answer
+            node,
+            self.tables,
+            self._primary_address,
+            self._push,
+            self._describe,
+            self._on_lease_answer,
+            self._on_load,
         )
         self._publication = Publication(
             self.tables, self._session.freshness, self.group.replica, self.operator.desk
@@ -114,6 +124,7 @@
     def on_closed(self, connection: Connection) -> None:
         self._host.on_closed(connection)
         self._sessions.pop(connection, None)
+        self._load.forget(connection)
 
     def _on_ping(self, connection: Connection, ping: SessionPing) -> None:
         session = self._sessions.get(connection)
@@ -127,6 +138,19 @@
             self._storage.report = ping.group
         for message in self._publication.answer(now, session.subscriber, ping):
             connection.send(message)
+        self._load.report(now, connection, ping.calls)
+        self._tell_load(now, connection, session.node.zone)
+
+    def _tell_load(self, now: float, connection: Connection, zone: str) -> None:
+        """Tell a session what all others have out."""
+        calls = self._load.others(now, connection)
+        if len(calls) > MOST_TOLD:
+            zones = {record.id: record.zone for record in self.tables.endpoints.endpoints}
+            calls = nearest(calls, zones, zone)
+        connection.send(LoadUpdate(calls))
+
+    def _on_load(self, calls: Mapping[str, int]) -> None:
+        self._load.heard_elsewhere(self._now(), calls)
 
     def _primary_address(self) -> list[str]:
         primary = self.group.replica.primary
@@ -135,10 +159,11 @@
         return [address_of(primary)]
 
     def _describe(self, ping: SessionPing) -> SessionPing:
-        """A backup reports its sessions, and the storage group's state, to the primary."""
+        """A backup reports its sessions, their calls, and the storage group's state to the primary."""
         attached = [n for n in self._table.own(self._now()) if n.role != "control"]
         report, self._storage.report = self._storage.report, None
-        return msgspec.structs.replace(ping, attached=attached, group=report)
+        calls = self._load.own(self._now())
+        return msgspec.structs.replace(ping, attached=attached, group=report, calls=calls)
 
     def _push(self) -> None:
         for connection, session in list(self._sessions.items()):
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -6,16 +6,18 @@
 import random
 import time
 import zlib
+from collections.abc import Mapping
 from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
+import msgspec
 import picologging as logging
 
 from eiderhub import address
 from eiderhub.batch.messages import Answer
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind
-from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord
+from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord, SessionPing
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.drain import Drain
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
@@ -55,7 +57,13 @@
         self.last_request = 0.0
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
-            self._node, self.tables, self._control_nodes, self._on_tables, on_lease=self._spending.answered
+            self._node,
+            self.tables,
+            self._control_nodes,
+            self._on_tables,
+            self._describe,
+            self._spending.answered,
+            self._on_load,
         )
         self._runner = ItemRunner(
             settings.node_name, settings.zone, self, self._storage_nodes, partial(zone_of, self.tables)
@@ -69,6 +77,17 @@
         seeds = [f"{address.parse(s).host}:{port}" for s in self._settings.seeds]
         return control_candidates(self.tables, seeds, self._settings.zone, self._rng.shuffle)
 
+    def _describe(self, ping: SessionPing) -> SessionPing:
+        """Tell with a ping which calls are out."""
+        calls: dict[str, int] = {}
+        for admission in self._admissions.values():
+            calls |= admission.calls_out()
+        return msgspec.structs.replace(ping, calls=calls)
+
+    def _on_load(self, calls: Mapping[str, int]) -> None:
+        for admission in self._admissions.values():
+            admission.follow_others(calls)
+
     def _ask_for_lease(self, request: LeaseRequest) -> bool:
         return self._session.send(request)
 
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import picologging as logging
 
@@ -14,6 +14,7 @@
 from eiderhub.control.messages import (
     LeaseAnswer,
     LeaseRequest,
+    LoadUpdate,
     NodeRecord,
     SessionOpen,
     SessionPing,
@@ -40,6 +41,7 @@
         on_update: Callable[[], None],
         describe: Callable[[SessionPing], SessionPing] = lambda ping: ping,
         on_lease: Callable[[LeaseAnswer], None] = lambda answer: None,
+        on_load: Callable[[Mapping[str, int]], None] = lambda calls: None,
     ) -> None:
         self._node = node
         self._tables = tables
@@ -47,6 +49,7 @@
         self._on_update = on_update
         self._describe = describe
         self._on_lease = on_lease
+        self._on_load = on_load
         self._ended = asyncio.Event()
         self._update_due = False
         self.freshness = Freshness()
@@ -108,6 +111,8 @@
             self.freshness.answered(message.sent_at, message.age_s)
         elif isinstance(message, LeaseAnswer):
             self._on_lease(message)
+        elif isinstance(message, LoadUpdate):
+            self._on_load(message.calls)
         elif isinstance(message, TableUpdate):
             if self._tables.lacks_base_of(message):
                 connection.close()  # the next session begins with what is here
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,93 @@
+"""Calls in flight by endpoint, shared by all sidecars: sums, what is old, and what the draws make of them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from eiderhub.control.load import KEPT_S, MOST_TOLD, LoadTable, nearest
+from eiderhub.dataplane.admission import OTHERS_KEPT_US
+from tests.engine_support import Bench, ScriptedEndpoint, route_of
+
+
+def test_each_session_hears_what_all_others_have_out() -> None:
+    table = LoadTable()
+    table.report(0.0, "s1", {"a": 2, "b": 1})
+    table.report(0.1, "s2", {"a": 1})
+    assert table.own(0.2) == {"a": 3, "b": 1}
+    assert table.others(0.2, "s1") == {"a": 1}
+    assert table.others(0.2, "s2") == {"a": 2, "b": 1}
+    assert table.others(0.2, "new") == {"a": 3, "b": 1}
+
+
+def test_a_report_takes_the_place_of_the_one_before() -> None:
+    table = LoadTable()
+    table.report(0.0, "s1", {"a": 2})
+    table.report(0.2, "s1", {"b": 1})
+    assert table.own(0.2) == {"b": 1}
+    table.forget("s1")
+    table.forget("s1")
+    assert table.own(0.2) == {}
+
+
+def test_what_a_session_said_long_ago_does_not_count() -> None:
+    table = LoadTable()
+    table.report(0.0, "s1", {"a": 2})
+    table.report(0.5, "s2", {"a": 1})
+    assert table.others(KEPT_S + 0.1, "new") == {"a": 1}
+
+
+def test_what_the_primary_told_of_other_nodes_is_added_while_it_is_fresh() -> None:
+    table = LoadTable()
+    table.report(0.0, "s1", {"a": 1})
+    table.heard_elsewhere(0.0, {"a": 4, "c": 2})
+    assert table.others(0.1, "s1") == {"a": 4, "c": 2}
+    assert table.own(0.1) == {"a": 1}
+    assert table.others(KEPT_S + 0.1, "s1") == {}
+
+
+def test_absurd_counts_of_a_session_say_nothing() -> None:
+    table = LoadTable()
+    table.report(0.0, "s1", {"a": -5, "b": 0, "c": 1})
+    assert table.others(0.1, "s2") == {"c": 1}
+
+
+def test_an_update_of_a_large_fleet_tells_of_the_own_zone_first() -> None:
+    calls = {f"e{number}": 1 for number in range(3 * MOST_TOLD)}
+    zones = {endpoint: "near" if int(endpoint[1:]) % 3 == 0 else "far" for endpoint in calls}
+    told = nearest(calls, zones, "near")
+    assert len(told) == MOST_TOLD
+    assert all(zones[endpoint] == "near" for endpoint in told)
+
+
+def test_calls_go_where_other_sidecars_have_few_until_that_is_old() -> None:
+    async def test() -> None:
+        crowded, idle = ScriptedEndpoint("i-0"), ScriptedEndpoint("i-1")
+        bench = Bench(crowded, idle)
+        await bench.start(route_of("idempotent"))
+        bench.admission.follow_others({"i-0": 8})
+        for number in range(20):
+            await bench.ask(f"fresh{number}")
+        assert len(crowded.requests) <= 2  # where a draw takes the same endpoint twice
+        balancer = bench.admission._balancer
+        assert balancer is not None
+        states = balancer.endpoints
+        assert states["i-0"].weight < states["i-1"].weight
+        bench.admission._others_at -= OTHERS_KEPT_US + 1
+        await bench.ask("old")
+        assert states["i-0"].weight == states["i-1"].weight
+        bench.stop()
+
+    asyncio.run(test())
+
+
+def test_a_sidecar_tells_the_calls_that_it_has_out() -> None:
+    async def test() -> None:
+        bench = Bench(ScriptedEndpoint("i-0"))
+        await bench.start(route_of("idempotent"))
+        sink = bench.send("a")
+        assert bench.admission.calls_out() == {"i-0": 1}
+        await sink.ended.wait()
+        assert bench.admission.calls_out() == {}
+        bench.stop()
+
+    asyncio.run(test())
