--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -93,6 +93,7 @@
 ANSWER_MARGIN_US = 60_000  # a held call is answered this long before its try ends: early enough to be retried
 
 # --- endpoints ---
+CROWDED, CROSSING = 0.5, 0.25  # a nearer endpoint this full is passed over for one that is so much emptier
 SENT_DECAY = 0.95  # of the work sent, kept from one refill window to the next: a memory of ten seconds
 LEAST_SPARE = 0.1  # part of an even share that free classes keep at endpoints that a bound class fills
 SUBSET_MIN, SUBSET_PER_CALL = 5, 2.0  # endpoints in use, and for each call of the cap; few have evidence
@@ -391,7 +392,7 @@
     __slots__ = (
         "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
         "in_flight", "kind", "launched", "on_trial", "order", "owes", "ready", "rested_at", "rests_until",
-        "slow", "turned", "used", "weight", "zone",
+        "slow", "taken", "turned", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -400,6 +401,7 @@
         self.in_flight = self.failed_at = self.rested_at = 0
         self.owes = 0  # since when calls are out to it and none has been answered; 0: none are
         self.credit, self.credit_at = -1.0, 0  # sends that it may have while cold; below 0: not begun
+        self.taken = 0.0  # share of its places, over all copies and with one call more; 0: not known
         self.launched = self.used = 0  # when a connection to it was last in use; 0: never
         self.recover()
         self.take(entry)
@@ -582,8 +584,8 @@
         goal = settings.goal
         even = goal.by_class / (goal.by_class + goal.by_worth or 1.0)
         # What a served call is worth to the goal, where the cheapest class may count as much as the best.
-        over_share = settings.over_share_worth
-        self.gain = [(1 - even) * worths[k] + even * (over_share if k[1] else 1.0) for k in ranked]
+        by_class = [settings.over_share_worth if over else 1.0 for _, over in ranked]
+        self.gain = [(1 - even) * worths[k] + even * one for k, one in zip(ranked, by_class, strict=True)]
         self.harmless = any(c.effect is not Effect.AT_MOST_ONCE for c in settings.classes)
         self.copying = settings.limits.second_copies and settings.layer == 0
         # Danger: changes count as told once nobody has asked for so long, and half as much more may be drawn.
@@ -741,13 +743,9 @@
         """What a successor should know; reading it changes nothing."""
         known = [e for e in self.endpoints.values() if e.ready and (e.on_trial or e.slow or e.failing)]
         ejected = [(e.ejected_until - now_us or -1) if e.on_trial else 0 for e in known]
-        return Memory(
-            [PoolMemory(limit.part, limit.cap, limit.base, limit.median) for limit in self._limits()],
-            [
-                EndpointMemory(e.id, e.launched, e.failing, e.slow, left)
-                for e, left in zip(known, ejected, strict=True)
-            ],
-        )
+        pools = [PoolMemory(limit.part, limit.cap, limit.base, limit.median) for limit in self._limits()]
+        pairs = zip(known, ejected, strict=True)
+        return Memory(pools, [EndpointMemory(e.id, e.launched, e.failing, e.slow, left) for e, left in pairs])
 
     def recall(self, now_us: int, memory: Memory) -> None:
         """Start with what another process learned in our place; comes after the first list."""
@@ -891,18 +889,22 @@
             return True
         share = 1.0 if self.worth[call.level] >= LOW_WORTH else LOW_TIER_SHARE
         barren = True  # whether nearer rings have no endpoint that could take the call, however long it waits
+        best: EndpointState | None = None
         for ring, pool in enumerate(self.placement[call.grade.name].pools):
             if not pool.subset.members:
                 continue
             if pool.limit.full(now, share * pool.limit.room(self.scarcity), self.random):
                 barren = False
                 continue
-            if ring and not barren and not self._worth_crossing(now, call, ring):
+            if ring and best is None and not barren and not self._worth_crossing(now, call, ring):
                 return False
-            if (endpoint := self._pick(now, pool, call)) is not None:
-                self._send(now, call, endpoint, pool)
-                return True
-        return False
+            if (e := self._pick(now, pool, call)) and (best is None or e.taken + CROSSING < best.taken):
+                best, its_pool = e, pool
+            if best is not None and best.taken <= CROWDED:
+                break
+        if best is not None:
+            self._send(now, call, best, its_pool)
+        return best is not None
 
     def _try_zone(self, now: int, call: Call, zone: Zone) -> bool:
         """Send a call to a zone that was left; of a class that may be repeated, where there is one."""
@@ -1168,10 +1170,8 @@
             for name, pool in zip(("near", "far", "farther"), placement.pools, strict=True)
             if pool.subset.members
         )
-        ratio, scarcity, held = round(self.ratio.value, 2), round(self.scarcity, 2), self.queue.count
-        self.actions.write_log(
-            "state", given_up=reasons, held=held, ratio=ratio, scarcity=scarcity, pools=pools
-        )
+        figures = {"ratio": round(self.ratio.value, 2), "scarcity": round(self.scarcity, 2)}
+        self.actions.write_log("state", given_up=reasons, held=self.queue.count, pools=pools, **figures)
 
     def expired(self, now_us: int, call: str) -> None:
         found = self.calls.get(call)
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -282,10 +282,13 @@
 class Admission:
     """Implements the decisions' `Actions` for one service."""
 
-    def __init__(self, service: str, capacity: int, zone: str, rng: random.Random) -> None:
+    def __init__(
+        self, service: str, capacity: int, zone: str, rng: random.Random, regions: Mapping[str, str]
+    ) -> None:
         self._service = service
         self._capacity = capacity
         self._zone = zone
+        self._regions = regions  # by zone
         self._rng = rng
         self._loop = asyncio.get_running_loop()
         self._calls: dict[str, Call] = {}
@@ -344,6 +347,7 @@
                 places = self._places.get(identity, 0)
                 elsewhere = others.get(identity, 0)
                 state.weight = (state.in_flight + 1) / activity.load(now, elsewhere, places)
+                state.taken = (elsewhere + activity.calls + 1) / places if places else 0.0
 
     def calls_out(self) -> dict[str, int]:
         """Calls that are out now, by endpoint; those that have none are left out."""
@@ -392,6 +396,7 @@
         for record in records:
             if record.id not in self._pools:
                 self._pools[record.id] = EnginePool(record.address)
+                self.activity(record.id)  # known before the first call: others may have some out
         for balancer in self._deciding():
             balancer.discovery(self.now_us(), ListForm.FULL, self._entries())
         self._prime()
@@ -405,9 +410,8 @@
         return self._balancers
 
     def _entries(self) -> list[Endpoint]:
-        # One pool for all zones of the region: crossing a zone costs less than an uneven load.
         return [
-            Endpoint(r.id, self._zone, "", 0, Readiness.READY if r.ready else Readiness.DRAINING)
+            Endpoint(r.id, r.zone, "", 0, Readiness.READY if r.ready else Readiness.DRAINING)
             for r in self._records
         ]
 
@@ -418,6 +422,7 @@
             rank=rank,
             balancers=sidecars,
             zone=self._zone,
+            regions=self._regions,
             zone_verdicts=False,
             tenants=(Tenant(DEFAULT_TENANT), *self._tenants.values()),
             limits=Limits(
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -138,7 +138,9 @@
         for service in table.services.values():
             admission = self._admissions.get(service.name)
             if admission is None:
-                admission = Admission(service.name, service.capacity, self._settings.zone, self._rng)
+                admission = Admission(
+                    service.name, service.capacity, self._settings.zone, self._rng, self._settings.zones
+                )
                 self._admissions[service.name] = admission
             admission.follow_endpoints(listed.get(service.name, []))
             leading = [r for r in table.by_name.values() if any(n == service.name for n, _ in r.services)]
--- a/tests/engine_support.py
+++ b/tests/engine_support.py
@@ -58,8 +58,9 @@
 class ScriptedEndpoint:
     """Counts the requests that it has read whole; its script deals with each."""
 
-    def __init__(self, identity: str, script: Script = answer_whole) -> None:
+    def __init__(self, identity: str, script: Script = answer_whole, zone: str = "z") -> None:
         self.identity = identity
+        self.zone = zone
         self.script = script
         self.requests: list[str] = []
         self.connections = 0
@@ -87,7 +88,7 @@
 
     @property
     def record(self) -> EndpointRecord:
-        return EndpointRecord(self.identity, SERVICE, self.address, "z", True, 8)
+        return EndpointRecord(self.identity, SERVICE, self.address, self.zone, True, 8)
 
 
 class Recorder:
@@ -148,7 +149,7 @@
         for endpoint in self.endpoints:
             await endpoint.start()
         self.route = route
-        self.admission = Admission(SERVICE, 8, "z", random.Random(1))
+        self.admission = Admission(SERVICE, 8, "z", random.Random(1), {})
         self.admission.follow_endpoints([endpoint.record for endpoint in self.endpoints])
         self.admission.follow_routes([route], 8)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -38,7 +38,7 @@
 
 
 def admission() -> Admission:
-    return Admission(SERVICE, 4, "z", random.Random(1))
+    return Admission(SERVICE, 4, "z", random.Random(1), {})
 
 
 @pytest.mark.parametrize("changes", [0, 1, CHANGES])
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -91,3 +91,53 @@
         bench.stop()
 
     asyncio.run(test())
+
+
+def _near_and_far() -> Bench:
+    return Bench(
+        *(ScriptedEndpoint(f"near-{number}") for number in range(3)),
+        *(ScriptedEndpoint(f"far-{number}", zone="y") for number in range(3)),
+    )
+
+
+def _far_requests(bench: Bench) -> int:
+    return sum(len(e.requests) for e in bench.endpoints if e.zone == "y")
+
+
+def test_calls_stay_in_the_zone_while_its_endpoints_have_places() -> None:
+    async def test() -> None:
+        bench = _near_and_far()
+        await bench.start(route_of("idempotent"))
+        bench.admission.follow_others({"near-0": 2, "near-1": 2, "near-2": 3})
+        for number in range(20):
+            await bench.ask(f"r{number}")
+        assert _far_requests(bench) == 0
+        bench.stop()
+
+    asyncio.run(test())
+
+
+def test_calls_go_to_another_zone_where_it_is_much_emptier() -> None:
+    async def test() -> None:
+        bench = _near_and_far()
+        await bench.start(route_of("idempotent"))
+        bench.admission.follow_others({"near-0": 7, "near-1": 7, "near-2": 8, "far-0": 1})
+        for number in range(20):
+            await bench.ask(f"r{number}")
+        assert _far_requests(bench) == 20
+        bench.stop()
+
+    asyncio.run(test())
+
+
+def test_calls_stay_in_a_full_zone_where_others_are_as_full() -> None:
+    async def test() -> None:
+        bench = _near_and_far()
+        await bench.start(route_of("idempotent"))
+        bench.admission.follow_others(dict.fromkeys([e.identity for e in bench.endpoints], 7))
+        for number in range(20):
+            await bench.ask(f"r{number}")
+        assert _far_requests(bench) == 0
+        bench.stop()
+
+    asyncio.run(test())
