--- a/eiderhub/batch/scheduler.py
+++ b/eiderhub/batch/scheduler.py
@@ -23,6 +23,11 @@
 
 FIRST_RUN_S, RUN_WEIGHT = 1.5, 0.05  # what an item is taken to take at first; weight of the newest
 STARTING_PER_ENDPOINT = 1.0  # items that may wait for their first event, for each endpoint
+# Of all places of the endpoints, the share that items and live calls may take together, and the least that
+# items may have: jobs move on, however busy live traffic is.
+FILLED_SHARE, LEAST_ITEM_SHARE = 0.75, 0.1
+LIVE_FALL = 0.25  # weight of the newest count of live calls, where it is lower; a rise counts at once
+LOAD_KEPT_S = 1.5  # a count of live calls says nothing once it is older
 STARTING_S = 0.5  # an item that has not begun by then does not count any more
 MOST_REMEMBERED = 16  # sidecars at which an item has failed, the latest
 
@@ -75,14 +80,18 @@
     """The sidecars with room, for one round of giving items out.
 
     `some_move`: whether items move at any sidecar, those without room included. `starts`: how many more items
-    may wait for their first event.
+    may wait for their first event. `places`: how many more may run, for what live calls leave.
     """
 
-    def __init__(self, now: float, room: dict[Worker, float], some_move: bool, starts: float) -> None:
+    def __init__(
+        self, now: float, room: dict[Worker, float], some_move: bool, starts: float, places: float
+    ) -> None:
         self._now = now
         self._room = room
         self._worst = Standing.ANSWERED if some_move else Standing.STUCK  # that a job may depend on
+        self._some_move = some_move
         self._starts = starts
+        self._places = places
 
     @property
     def has_room(self) -> bool:
@@ -98,9 +107,7 @@
         allowed = [
             worker
             for worker in self._room
-            if (safe or worker.standing <= self._worst)
-            and (self._starts > 0 or not worker.is_tested(self._now))
-            and worker.knows(route)
+            if (safe or worker.standing <= self._worst) and self._may_start_at(worker) and worker.knows(route)
         ]
 
         def rank(worker: Worker) -> tuple[bool, int, float, float]:
@@ -112,6 +119,12 @@
 
         return min(allowed, key=rank, default=None)
 
+    def _may_start_at(self, worker: Worker) -> bool:
+        """Whether bounds over all sidecars allow one more item there; where nothing moves, each is tried."""
+        if worker.is_tested(self._now):
+            return min(self._starts, self._places) > 0
+        return self._places > 0 or not self._some_move
+
     def _last_rank(self, worker: Worker, safe: bool) -> float:
         """Among sidecars of one standing.
 
@@ -125,6 +138,7 @@
 
     def given(self, worker: Worker) -> None:
         """One more item runs there."""
+        self._places -= 1
         if worker.is_tested(self._now):
             self._starts -= 1
         self._room[worker] -= 1.0
@@ -146,12 +160,32 @@
         self.run_s = FIRST_RUN_S  # that an item takes, on the mean of late
         self._endpoints = 1
         self._places = 0
+        self._live = 0.0  # calls that are out beside items, lately
+        self._live_at = NEVER
 
     def follow(self, endpoints: int, places: int) -> None:
         """How many endpoints there are, and how many requests all of them work on at once."""
         self._endpoints = max(1, endpoints)
         self._places = places
 
+    def follow_load(self, now: float, calls: int) -> None:
+        """How many calls all sidecars have out to the endpoints that run items, items among them."""
+        live = max(0.0, float(calls - self._items_out()))
+        falls = live < self._live and now - self._live_at <= LOAD_KEPT_S
+        self._live += (LIVE_FALL if falls else 1.0) * (live - self._live)
+        self._live_at = now
+
+    def _places_left(self, now: float) -> float:
+        """How many more items may run, for what live calls leave of the endpoints' places."""
+        if now - self._live_at > LOAD_KEPT_S or not self._places:
+            return float("inf")
+        most = max(FILLED_SHARE * self._places - self._live, LEAST_ITEM_SHARE * self._places)
+        return most - self._items_out()
+
+    def _items_out(self) -> int:
+        """Items that run at endpoints, as far as is known; what a sidecar can't move takes no place."""
+        return len(self._begun) + len(self._starting)
+
     def _share(self, sidecars: int) -> float:
         """The window of one of so many sidecars: an even share of half of all places."""
         return min(MOST_WINDOW, max(START_WINDOW, self._places / 2 / sidecars))
@@ -210,7 +244,7 @@
             free = worker.free(now, self._running(worker.node), wanted=not some_move, share=share)
             if free >= 1.0:
                 room[worker] = free
-        return Round(now, room, some_move, self._may_begin(now))
+        return Round(now, room, some_move, self._may_begin(now), self._places_left(now))
 
     def _share_of_able(self, now: float) -> float:
         """The window that each may have where most are cut off: these leave the others their share.
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Mapping
 
 import msgspec
 import picologging as logging
@@ -65,6 +66,7 @@
         self._dispatch = Dispatcher(self._jobs)
         self._progress = ProgressWatch()
         self._next_progress = 0.0
+        self._item_endpoints: frozenset[str] = frozenset()  # that run items
         self._next_stuck_log = 0.0
         self._sessions: dict[Connection, Session] = {}
         self._connections: dict[Session, Connection] = {}
@@ -72,7 +74,13 @@
         self._led_since = 0.0
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
-            node, self.tables, self._candidates, self._on_tables, self._describe, self._spending.answered
+            node,
+            self.tables,
+            self._candidates,
+            self._on_tables,
+            self._describe,
+            self._spending.answered,
+            self._on_load,
         )
         self._calls = BatchCalls(
             self._jobs,
@@ -138,8 +146,14 @@
         batch = [route for route in self._routes.by_name.values() if route.kind == "batch"]
         services = {name for route in batch for name, _ in route.services}
         ready = [e for e in self.tables.endpoints.endpoints if e.ready and e.service in services]
+        self._item_endpoints = frozenset(e.id for e in ready)
         self._dispatch.scheduler.follow(len(ready), sum(e.capacity for e in ready))
 
+    def _on_load(self, calls: Mapping[str, int]) -> None:
+        """What all sidecars have out at endpoints."""
+        counted = sum(count for endpoint, count in calls.items() if endpoint in self._item_endpoints)
+        self._dispatch.scheduler.follow_load(self._now(), counted)
+
     # --- connections ---
 
     def on_message(self, connection: Connection, message: Message) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -8,7 +8,14 @@
 import pytest
 
 from eiderhub.batch.messages import ItemKey, Reach, ReturnReason
-from eiderhub.batch.scheduler import MOST_REMEMBERED, STARTING_S, Scheduler
+from eiderhub.batch.scheduler import (
+    FILLED_SHARE,
+    LEAST_ITEM_SHARE,
+    LOAD_KEPT_S,
+    MOST_REMEMBERED,
+    STARTING_S,
+    Scheduler,
+)
 from eiderhub.batch.workers import (
     GROW,
     LEAST_WINDOW,
@@ -460,3 +467,67 @@
     assert choose(made, 2.0) is made.workers["b"]
     made.leave("b")
     assert choose(made, 2.0) is None
+
+
+# --- places that live calls leave ---
+
+
+def starts(made: Scheduler, now: float) -> int:
+    """How many items one round gives out."""
+    round_ = made.round(now)
+    given = 0
+    while given < 1000 and (worker := round_.choose(ROUTE, {}, safe=True)) is not None:
+        round_.given(worker)
+        made.given(now, key(given), worker)
+        given += 1
+    return given
+
+
+def fleet(places: int, sidecars: int = 50) -> Scheduler:
+    return scheduler(*(f"n{number}" for number in range(sidecars)), places=places)
+
+
+def test_items_take_what_live_calls_leave_of_the_places() -> None:
+    made = fleet(places=100)
+    made.follow_load(0.0, calls=50)
+    assert starts(made, 0.0) == FILLED_SHARE * 100 - 50
+
+
+def test_items_that_run_are_not_counted_as_live_calls() -> None:
+    made = fleet(places=100)
+    made.follow_load(0.0, calls=40)
+    first = starts(made, 0.0)
+    made.follow_load(0.1, calls=40 + first)
+    assert starts(made, 0.1) == 0
+    for number in range(first):
+        made.finished(0.2, "n0", key(number))
+    made.follow_load(0.2, calls=40)
+    assert starts(made, 0.2) == first
+
+
+def test_items_have_a_least_share_however_busy_live_traffic_is() -> None:
+    made = fleet(places=100)
+    made.follow_load(0.0, calls=500)
+    assert starts(made, 0.0) == LEAST_ITEM_SHARE * 100
+
+
+def test_a_rise_of_live_calls_counts_at_once_and_a_fall_by_and_by() -> None:
+    made = fleet(places=100)
+    made.follow_load(0.0, calls=60)
+    made.follow_load(0.1, calls=20)
+    assert starts(made, 0.1) == FILLED_SHARE * 100 - 50
+
+
+def test_a_count_of_live_calls_that_is_old_bounds_nothing() -> None:
+    made = fleet(places=100)
+    made.follow_load(0.0, calls=500)
+    assert starts(made, LOAD_KEPT_S + 0.1) > 50
+
+
+def test_where_nothing_moves_sidecars_are_tried_though_live_calls_take_all_places() -> None:
+    made = Scheduler(Load())
+    made.follow(10, 100)
+    made.join(0.0, "a", "z", Reach.UNKNOWN)
+    made.follow_load(0.0, calls=500)
+    made._starting.update({key(number): 0.0 for number in range(10)})  # the least share is taken
+    assert choose(made, 0.0) is not None
