--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -25,6 +25,7 @@
 
 PING_S = 0.25
 RETRY_S = 0.1
+NEARER_S = 1.0  # a session with a node of another zone looks so often for one of its own
 UPDATE_AGAIN_S = 0.2  # tables that could not be put in force are tried again so much later
 
 log = logging.getLogger("session")
@@ -71,16 +72,18 @@
             for target in self._candidates():
                 host, port = address.parse(target)
                 connection = await connect(self, host, port)
-                if connection is not None:
-                    await self._keep(connection, target)
+                while connection is not None:
+                    connection, target = await self._keep(connection, target)
             await asyncio.sleep(RETRY_S)
 
-    async def _keep(self, connection: Connection, target: str) -> None:
+    async def _keep(self, connection: Connection, target: str) -> tuple[Connection | None, str]:
+        """Keep a session up; returns the connection that it was left for, if any, and its target."""
         opened = time.monotonic()
         self._ended.clear()
         self.connection = connection
         connection.peer_zone = zone_of(self._tables, target)
         connection.send(SessionOpen(self._node))
+        search = _NearerSearch(self, opened)
         while not connection.closed:
             connection.send(self._ping())
             try:
@@ -88,10 +91,24 @@
                     await self._ended.wait()
             except TimeoutError:
                 pass
-            stale = time.monotonic() - self.freshness.silent_since(opened) > FRESH_S
+            now = time.monotonic()
+            stale = now - self.freshness.silent_since(opened) > FRESH_S
             if stale or target not in self._candidates():
                 connection.close()
+            connection.peer_zone = zone_of(self._tables, target)
+            search.look(now, self._nearer_than(target))
+            if search.found is not None and not connection.closed:
+                connection.close()
+                return search.found, search.target
         self.connection = None
+        search.end()
+        return None, target
+
+    def _nearer_than(self, target: str) -> str:
+        """A control node of the own zone, where the target is in another; empty: there is none."""
+        first = next(iter(self._candidates()), target)
+        here, there = zone_of(self._tables, first), zone_of(self._tables, target)
+        return first if there and here == self._node.zone != there else ""
 
     def _ping(self) -> SessionPing:
         tables = self._tables
@@ -141,6 +158,40 @@
             self._ended.set()
 
 
+class _NearerSearch:
+    """Opens a connection to a nearer control node beside a session, which goes on meanwhile."""
+
+    def __init__(self, session: ControlSession, now: float) -> None:
+        self._session = session
+        self._next = now + NEARER_S
+        self._task: asyncio.Task[Connection | None] | None = None
+        self.target = ""
+        self.found: Connection | None = None
+
+    def look(self, now: float, target: str) -> None:
+        """Go on with the search; `target` is the nearer node, empty where there is none."""
+        if self._task is not None and self._task.done():
+            self.found, self._task = self._task.result(), None
+        elif self._task is None and target and now >= self._next:
+            self._next = now + NEARER_S
+            self.target = target
+            host, port = address.parse(target)
+            self._task = asyncio.get_running_loop().create_task(connect(self._session, host, port))
+
+    def end(self) -> None:
+        """The session has ended; a connection that comes up later is not wanted."""
+        if self.found is not None:
+            self.found.close()
+        if self._task is not None:
+            self._task.add_done_callback(_close_found)
+
+
+def _close_found(task: asyncio.Task[Connection | None]) -> None:
+    connection = None if task.cancelled() else task.result()
+    if connection is not None:
+        connection.close()
+
+
 def zone_of(tables: Tables, target: str) -> str:
     """The zone of the control or storage node that listens at this address; empty: it is not known."""
     for node in tables.nodes.nodes:
