Gather the storage group in few zones where no loss of a zone is to be borne

Bodies are random and texts near their entropy, so that no deflate helps. Change: where fault_tolerance.zones is 0, founders and later members come from the largest zone first; all storage machines run the role, so that one zone has the five members that the loss of two machines needs. Where a zone's loss is to be borne, members are spread as before. Weighed: relaying within a zone (halves it, changes the replication), three copies of five members (the witnesses would have to vote without state).

--- a/eiderhub/coordination/roster.py
+++ b/eiderhub/coordination/roster.py
@@ -22,6 +22,7 @@
     def __init__(self, identity: str, zone: str) -> None:
         self.retired: frozenset[str] = frozenset()  # identities that must leave for good
         self.retired_names: frozenset[str] = frozenset()  # machines that must leave for good
+        self.gathers = False  # whether members are wanted in few zones; else in many
         self.informed = True  # whether the names above are known to be all
         self._present: dict[str, str] = {}  # identities by address, of those that have greeted us
         self._names: dict[str, str] = {}  # machines' names by identity
@@ -56,7 +57,7 @@
         replica.candidates = self.candidates(replica, retiring)
 
     def candidates(self, replica: Replica, retiring: Collection[str]) -> list[str]:
-        """Those that could become members; from zones that have no member first.
+        """Those that could become members; from zones that have no member first, or that have some.
 
         Danger: what came in the place of a barred replica may be on a machine that is about to be taken away.
         """
@@ -67,4 +68,4 @@
             if identity not in retiring and identity not in replica.members and address not in closed
         )
         covered = {self._zones.get(member, "") for member in replica.members - set(retiring)}
-        return sorted(wanting, key=lambda i: (self._zones.get(i, "") in covered, i))
+        return sorted(wanting, key=lambda i: ((self._zones.get(i, "") in covered) != self.gathers, i))
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -71,7 +71,7 @@
         least = copies_needed(settings.fault_tolerance)
         self._host = ReplicaHost(store, node, self._rng, GroupSize(None, least), self._on_change)
         self.group = self._host.group
-        self._storage = StorageTending(self.group, store, least)
+        self._storage = StorageTending(self.group, store, least, gathers=not settings.zones_lost)
         control_port = address.parse(settings.control).port
         self.operator = OperatorService(
             node, self.group, store, self.tables, control_port, least, self._storage_nodes
--- a/eiderhub/programs/settings.py
+++ b/eiderhub/programs/settings.py
@@ -41,6 +41,7 @@
     grace_s: float
     status_ttl_s: float
     fault_tolerance: int
+    zones_lost: int  # at once, that are to be borne
 
 
 class _Reader:
@@ -117,4 +118,5 @@
         grace_s=reader.take("bounds.grace_s", float, 8.0),
         status_ttl_s=reader.take("bounds.status_ttl_s", float, 120.0),
         fault_tolerance=reader.take("fault_tolerance.machines", int, 1),
+        zones_lost=reader.take("fault_tolerance.zones", int, 0),
     )
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -62,6 +62,7 @@
         least = copies_needed(settings.fault_tolerance)
         self._host = ReplicaHost(store, node, self._rng, GroupSize(least, least), self._on_change)
         self.group = self._host.group
+        self.group.roster.gathers = not settings.zones_lost
         self._jobs = JobTable(store)
         self._dispatch = Dispatcher(self._jobs)
         self._progress = ProgressWatch()
--- a/eiderhub/programs/storage_tending.py
+++ b/eiderhub/programs/storage_tending.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping
 
 import msgspec
@@ -32,12 +33,19 @@
     return [node for _, _, node in sorted(ranked, key=lambda r: r[:2])]
 
 
+def gathered_in_zones(nodes: list[NodeRecord]) -> list[NodeRecord]:
+    """The nodes in an order that takes all of one zone before the next, the largest zone first."""
+    sizes = Counter(node.zone for node in nodes)
+    return sorted(nodes, key=lambda n: (-sizes[n.zone], n.zone, n.name))
+
+
 class StorageTending:
     """Of one control node; does nothing unless it leads."""
 
-    def __init__(self, group: GroupDriver, store: LmdbStore, least: int) -> None:
+    def __init__(self, group: GroupDriver, store: LmdbStore, least: int, gathers: bool) -> None:
         self._group = group
         self._store = store
+        self._arranged = gathered_in_zones if gathers else spread_over_zones
         self._least = least  # founders that keep a majority when as many are lost as may be
         self.report: StorageReport | None = None  # the latest of the storage group's primary
         self._seen = 0  # storage nodes that were there
@@ -88,7 +96,7 @@
         enough = len(nodes) >= self._least
         waited = now - self._first_seen > FOUND_ANYWAY_S
         if nodes and now - self._seen_since > FOUND_S and (enough or waited):
-            founders = spread_over_zones(nodes)[: self._least]
+            founders = self._arranged(nodes)[: self._least]
             members = msgspec.json.encode(sorted(n.identity for n in founders))
             await self._group.write([Write(GROUP_KEY, members)])
             log.info("founded the storage group with %d of %d nodes", len(founders), len(nodes))
