Grant all of other zones' room, and cross for an eighth less taken

Change: the part granted in other zones is a setting, 0.25 as before in service, 1 in the tier, where what others have out is known; a call crosses where the far endpoint has an eighth of its places less taken.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -66,7 +66,6 @@
 # --- concurrency ---
 START_CALLS = 6.0  # in-flight calls an endpoint is taken to bear, from all copies together, before we learn
 FLOOR_CALLS = 2.0  # and in any trouble: a floor that is too low starves sound endpoints once trouble is over
-REMOTE_PART = 0.25  # part of that granted in other zones, whose own callers come first
 MIN_CAP = 0.1  # calls; the sum over many copies must still be small
 DITHER_US = 250_000  # while crowded, a part of a call is granted part of the time: drawn anew so often
 # Square roots of the cap that calls in flight may exceed it by: inside, and where excess is to be refused.
@@ -93,7 +92,7 @@
 ANSWER_MARGIN_US = 60_000  # a held call is answered this long before its try ends: early enough to be retried
 
 # --- endpoints ---
-CROWDED, CROSSING = 0.5, 0.25  # a nearer endpoint this full is passed over for one that is so much emptier
+CROWDED, CROSSING = 0.5, 0.125  # a nearer endpoint this full is passed over for one that is so much emptier
 SENT_DECAY = 0.95  # of the work sent, kept from one refill window to the next: a memory of ten seconds
 LEAST_SPARE = 0.1  # part of an even share that free classes keep at endpoints that a bound class fills
 SUBSET_MIN, SUBSET_PER_CALL = 5, 2.0  # endpoints in use, and for each call of the cap; few have evidence
@@ -665,8 +664,8 @@
             # has lost endpoints, or has them back cold, would each count on what is left for itself.
             fair = sum(bears) / s.balancers
             own = bears[0] * zones / s.balancers if zones < s.balancers else min(fair, bears[0])
-            far = max(fair - own, REMOTE_PART * fair)
-            farther = max(far - bears[1], REMOTE_PART * fair)
+            far = max(fair - own, s.remote_part * fair)
+            farther = max(far - bears[1], s.remote_part * fair)
             for pool, members, part in zip(placement.pools, rings, (own, far, farther), strict=True):
                 pool.limit.size(part)
                 size = max(SUBSET_MIN, int(SUBSET_PER_CALL * pool.limit.cap))
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -47,6 +47,7 @@
 MOST_RETRY_AFTER_US = 400_000
 START_SHARE = 1.0  # of an endpoint's places that all sidecars together begin with
 START_MEDIAN = 0.12  # latency as a share of the objective that a new sidecar takes to be usual
+REMOTE_PART = 1.0  # of other zones' capacity: what all sidecars have out is known, and decides who crosses
 MAX_ATTEMPTS = 3  # sends of one call, those that were turned away included
 MOST_BODY = 1 << 20  # of an answer that is no stream
 DEFAULT_TENANT = "default"
@@ -423,6 +424,7 @@
             balancers=sidecars,
             zone=self._zone,
             regions=self._regions,
+            remote_part=REMOTE_PART,
             zone_verdicts=False,
             tenants=(Tenant(DEFAULT_TENANT), *self._tenants.values()),
             limits=Limits(
--- a/eiderhub/interface.py
+++ b/eiderhub/interface.py
@@ -192,6 +192,7 @@
     tiers: int = 1
     zone: str = ""
     regions: Mapping[str, str] = field(default_factory=dict)  # by zone; zones without one are one region
+    remote_part: float = 0.25  # of the capacity of other zones, granted beside their own callers
     zone_verdicts: bool = True  # whether a zone is left for what its calls come to
     tenants: Sequence[Tenant] = ()
     over_share_worth: float = 1.0
@@ -211,6 +212,7 @@
         _require(self.balancers >= 1, "balancers", "must be at least 1")
         _require(self.layer >= 0, "layer", "must not be negative")
         _require(self.tiers > self.layer, "tiers", "must be more than layer")
+        _require(0 < self.remote_part <= 1, "remote_part", "must lie in (0, 1]")
         _require(self.over_share_worth >= 0, "over_share_worth", "must not be negative")
 
 
