Test that what an endpoint tells of its load harms nothing

The draws go by the calls that sidecars have out; nine forms of the header change neither answers nor draws.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import pytest
+
 from eiderhub.control.load import KEPT_S, MOST_TOLD, LoadTable, nearest
 from eiderhub.dataplane.admission import OTHERS_KEPT_US
-from tests.engine_support import Bench, ScriptedEndpoint, route_of
+from tests.engine_support import Bench, Request, ScriptedEndpoint, route_of
 
 
 def test_each_session_hears_what_all_others_have_out() -> None:
@@ -141,3 +143,32 @@
         bench.stop()
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    "told",
+    ["0,0,8", "-5,-1,8", "999999999999999999999,0,8", "nan,inf,8", "a,b", "", "7", "1e400,0,8", "0,0,0"],
+)
+def test_what_an_endpoint_tells_of_its_load_harms_nothing(told: str) -> None:
+    """Endpoints may say anything: the draws go by calls that sidecars have out, which no endpoint can forge."""
+
+    async def boast(request: Request) -> None:
+        request.send(request.answer(load=told))
+
+    async def test() -> None:
+        liar, honest = ScriptedEndpoint("i-0", boast), ScriptedEndpoint("i-1")
+        bench = Bench(liar, honest)
+        await bench.start(route_of("idempotent"))
+        bench.admission.follow_others({"i-0": 8})
+        for number in range(20):
+            sink = await bench.ask(f"r{number}")
+            assert sink.status == 200
+        assert len(liar.requests) <= 2
+        bench.admission.follow_others({})
+        await bench.ask("last")
+        balancer = bench.admission._balancer
+        assert balancer is not None
+        assert balancer.endpoints["i-0"].weight == balancer.endpoints["i-1"].weight
+        bench.stop()
+
+    asyncio.run(test())
