--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -150,7 +150,7 @@
     ["0,0,8", "-5,-1,8", "999999999999999999999,0,8", "nan,inf,8", "a,b", "", "7", "1e400,0,8", "0,0,0"],
 )
 def test_what_an_endpoint_tells_of_its_load_harms_nothing(told: str) -> None:
-    """Endpoints may say anything: the draws go by calls that sidecars have out, which no endpoint can forge."""
+    """The draws go by calls that sidecars have out, which no endpoint can forge."""
 
     async def boast(request: Request) -> None:
         request.send(request.answer(load=told))
