--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -128,7 +128,8 @@
 RETRY_SHARE, RETRY_BURST = 0.1, 5.0  # retries and second copies for each first attempt, and so many more
 MAX_TRIES, MAX_TRIES_INSIDE = 3, 2  # attempts: layers that retry each other multiply
 RETRY_AFTER_SHARE = 0.5  # a refused client is told to wait this share of what it obeys, or up to twice it
-ASK_BACKOFF_US, ASK_MAX_US = 500_000, 8_000_000  # wait before subscribing again, doubled up to
+# Wait before subscribing again, doubled up to so much for each copy of all tiers, within the last two.
+ASK_BACKOFF_US, ASK_COPY_US, ASK_LEAST_US, ASK_MAX_US = 500_000, 40_000, 1_000_000, 8_000_000
 SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
 SAME_START_US = 1_000_000  # processes that convert a stated start to their own clocks differ by less
 
@@ -372,8 +373,7 @@
 
     def learn(self, step: int, silent: bool) -> None:
         self.counts[step] += 1
-        weight = max(SILENT_WEIGHT, 1 / self.counts[step])
-        self.shares[step] += weight * (silent - self.shares[step])
+        self.shares[step] += max(SILENT_WEIGHT, 1 / self.counts[step]) * (silent - self.shares[step])
 
     def dead(self, step: int, chance: float) -> bool:
         """Whether connections idle for so long had better be closed first; `chance` is drawn from 0..1."""
@@ -543,8 +543,7 @@
 
     def __init__(self, layer: int) -> None:
         self.subset, self.limit = Subset(), ConcurrencyLimit(layer)
-        self.sent = 0  # in this refill window
-        self.rate = 0.0  # calls sent a second; falls slowly, so that slow start does not feed on itself
+        self.sent, self.rate = 0, 0.0  # calls in this refill window; a second, falling slowly for slow start
 
     def turn(self) -> None:
         rate = self.sent * 1e6 / REFILL_WINDOW_US
@@ -588,7 +587,8 @@
         self.harmless = any(c.effect is not Effect.AT_MOST_ONCE for c in settings.classes)
         self.copying = settings.limits.second_copies and settings.layer == 0
         # Danger: changes count as told once nobody has asked for so long, and half as much more may be drawn.
-        self.started, self.ask_most = False, min(ASK_MAX_US, settings.rules.ask_every_us // 2 or ASK_MAX_US)
+        most = min(ASK_MAX_US, max(ASK_LEAST_US, ASK_COPY_US * settings.balancers * settings.tiers))
+        self.started, self.ask_most = False, min(most, settings.rules.ask_every_us // 2 or most)
 
     def start(self, now_us: int) -> None:
         s = self.settings
