--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -901,10 +901,9 @@
                 best, its_pool = e, pool
             if best is not None and best.taken <= CROWDED:
                 break
-        if best is None or best.taken > share < 1.0:  # lower tiers leave the others their places
-            return False
-        self._send(now, call, best, its_pool)
-        return True
+        if best is not None:
+            self._send(now, call, best, its_pool)
+        return best is not None
 
     def _try_zone(self, now: int, call: Call, zone: Zone) -> bool:
         """Send a call to a zone that was left; of a class that may be repeated, where there is one."""
