Let discovery be asked again after 80 ms for each copy, 40 before

Change: 80 ms, so that such a fleet waits up to 8 s as before; fleets of up to a dozen copies wait a second.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -129,7 +129,7 @@
 MAX_TRIES, MAX_TRIES_INSIDE = 3, 2  # attempts: layers that retry each other multiply
 RETRY_AFTER_SHARE = 0.5  # a refused client is told to wait this share of what it obeys, or up to twice it
 # Wait before subscribing again, doubled up to so much for each copy of all tiers, within the last two.
-ASK_BACKOFF_US, ASK_COPY_US, ASK_LEAST_US, ASK_MAX_US = 500_000, 40_000, 1_000_000, 8_000_000
+ASK_BACKOFF_US, ASK_COPY_US, ASK_LEAST_US, ASK_MAX_US = 500_000, 80_000, 1_000_000, 8_000_000
 SPILL_GAIN = 0.5  # how much of a call's worth is taken to be saved by sending it to another zone
 SAME_START_US = 1_000_000  # processes that convert a stated start to their own clocks differ by less
 
