Import the schema's reader where it is needed: sidecars start sooner

Cause and measure: importlib.resources with tempfile and shutil was 7 of 252 ms of an edge's imports (importtime, one run beside other work); only the control primary checks configurations.

--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -12,7 +12,6 @@
 from collections import Counter
 from collections.abc import Iterator
 from functools import lru_cache
-from importlib.resources import files
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
@@ -58,7 +57,10 @@
 
 @lru_cache(maxsize=1)
 def _validator() -> Any:
-    import jsonschema  # only the primary needs it, some time after its start
+    # Only the primary needs these, some time after its start.
+    from importlib.resources import files
+
+    import jsonschema
 
     schema = json.loads(files("eiderhub.control").joinpath("configuration.schema.json").read_text())
     return jsonschema.Draft202012Validator(schema)
