Begin with the kept endpoint list after a loss of all

Cause: after all processes are lost, sidecars are ready only once the new primary has imported its HTTP client and read the platform's list, with a part of half a core. Change: the primary keeps the list in the control state when it changes; one that knows no endpoints begins with it and asks the platform at once.

--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -14,6 +14,7 @@
 from eiderhub import address
 from eiderhub.control import retirement
 from eiderhub.control.distribution import Subscriber, Tables
+from eiderhub.control.kept_list import provisional_list, writes_of
 from eiderhub.control.load import LoadTable
 from eiderhub.control.messages import (
     EndpointRecord,
@@ -194,6 +195,7 @@
             self._storage.begin()
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
             self._restore_sessions()
+            self._restore_list()
             self._ledger.load(dict(self._store.scan(LEASED_PREFIX)))
             self._on_configuration()
         elif self._publication.follow(now) is not None:
@@ -214,6 +216,13 @@
             self._table.restore(self._now(), nodes, sidecars)
             self._publish_nodes()
 
+    def _restore_list(self) -> None:
+        """After a loss of all, begin with the kept list, before the platform has been asked."""
+        listed = provisional_list(self._store, self.tables.endpoints)
+        if listed is not None:
+            self.tables.apply(EndpointsUpdate(self._next_version(), listed))
+            self._push()
+
     def _on_configuration(self) -> None:
         """The newest committed configuration is another one."""
         current = self.tables.configuration
@@ -305,6 +314,7 @@
             else:
                 if self._leads() and self._publication.epoch == epoch:
                     self._listed(listed)
+                    await self._keep_list(listed)
             await asyncio.sleep(max(0.05, pause - (self._now() - started)))
 
     def _listed(self, listed: list[EndpointRecord]) -> None:
@@ -313,6 +323,14 @@
             self.tables.apply(EndpointsUpdate(self._next_version(), listed))
             self._push()
 
+    async def _keep_list(self, listed: list[EndpointRecord]) -> None:
+        writes = writes_of(self._store, listed)
+        try:
+            if writes:
+                await self.group.write(writes)
+        except (NotPrimary, CommitUnknown) as error:
+            log.info("the list is not kept: %r", error)
+
     def metrics(self) -> list[str]:
         """The figures of this node, one a line."""
         replica = self.group.replica
