Look one ring farther at most, and leave near nodes that tell nothing new alone for a while

Cause, by reading: a crowded near endpoint had all rings compared, other regions too; and a session would have gone back and forth to a near control node that is cut off from the others, 0.9 s without news each time. Change: a call looks in the next ring alone where the nearest is crowded; a node that a session left as stale is no nearer one for 10 s and comes last among the candidates. The second has a test that failed before.

--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -899,7 +899,7 @@
                 return False
             if (e := self._pick(now, pool, call)) and (best is None or e.taken + CROSSING < best.taken):
                 best, its_pool = e, pool
-            if best is not None and best.taken <= CROWDED:
+            if best is not None and (ring or best.taken <= CROWDED):
                 break
         if best is not None:
             self._send(now, call, best, its_pool)
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -26,6 +26,7 @@
 PING_S = 0.25
 RETRY_S = 0.1
 NEARER_S = 1.0  # a session with a node of another zone looks so often for one of its own
+STALE_AGAIN_S = 10.0  # a node that a session left since it told nothing new is no nearer one for so long
 UPDATE_AGAIN_S = 0.2  # tables that could not be put in force are tried again so much later
 
 log = logging.getLogger("session")
@@ -53,6 +54,7 @@
         self._on_load = on_load
         self._ended = asyncio.Event()
         self._update_due = False
+        self._stale_at: dict[str, float] = {}  # when a session was left for that, by target
         self.freshness = Freshness()
         self.connection: Connection | None = None
         self.task = asyncio.get_running_loop().create_task(self._run())
@@ -69,13 +71,21 @@
 
     async def _run(self) -> None:
         while True:
-            for target in self._candidates():
+            for target in self._targets():
                 host, port = address.parse(target)
                 connection = await connect(self, host, port)
                 while connection is not None:
                     connection, target = await self._keep(connection, target)
             await asyncio.sleep(RETRY_S)
 
+    def _targets(self) -> list[str]:
+        """The candidates, those last that lately told nothing new."""
+        now = time.monotonic()
+        return sorted(self._candidates(), key=lambda target: self._was_stale(now, target))
+
+    def _was_stale(self, now: float, target: str) -> bool:
+        return now - self._stale_at.get(target, float("-inf")) < STALE_AGAIN_S
+
     async def _keep(self, connection: Connection, target: str) -> tuple[Connection | None, str]:
         """Keep a session up; returns the connection that it was left for, if any, and its target."""
         opened = time.monotonic()
@@ -93,10 +103,12 @@
                 pass
             now = time.monotonic()
             stale = now - self.freshness.silent_since(opened) > FRESH_S
+            if stale:
+                self._stale_at[target] = now
             if stale or target not in self._candidates():
                 connection.close()
             connection.peer_zone = zone_of(self._tables, target)
-            search.look(now, self._nearer_than(target))
+            search.look(now, self._nearer_than(now, target))
             if search.found is not None and not connection.closed:
                 connection.close()
                 return search.found, search.target
@@ -104,9 +116,14 @@
         search.end()
         return None, target
 
-    def _nearer_than(self, target: str) -> str:
-        """A control node of the own zone, where the target is in another; empty: there is none."""
+    def _nearer_than(self, now: float, target: str) -> str:
+        """A control node of the own zone, where the target is in another; empty: there is none.
+
+        Danger: one that is cut off from the others takes sessions and tells them nothing.
+        """
         first = next(iter(self._candidates()), target)
+        if self._was_stale(now, first):
+            return ""
         here, there = zone_of(self._tables, first), zone_of(self._tables, target)
         return first if there and here == self._node.zone != there else ""
 
--- a/tests/test_nearer_session.py
+++ b/tests/test_nearer_session.py
@@ -29,6 +29,7 @@
 
     def __init__(self, zone: str) -> None:
         self.zone = zone
+        self.age_s: float | None = 0.0  # of what it tells; None: it can't tell
         self.opened = asyncio.Event()
         self.ended = asyncio.Event()
         self.answered = asyncio.Event()
@@ -45,7 +46,7 @@
         if isinstance(message, SessionOpen):
             self.opened.set()
         elif isinstance(message, SessionPing):
-            connection.send(SessionPong(message.sent_at, 0.0))
+            connection.send(SessionPong(message.sent_at, self.age_s))
             self.answered.set()
 
     def on_closed(self, connection: Connection) -> None:
@@ -133,3 +134,25 @@
             assert not far.opened.is_set() and not near.ended.is_set()
 
     run(test)
+
+
+def test_a_session_does_not_come_back_at_once_to_a_near_node_that_tells_nothing_new(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(control_session, "FRESH_S", 0.05)
+
+    async def test(near: ControlNode, far: ControlNode) -> None:
+        near.age_s = None
+        tables = Tables()
+        async with session_with(far, tables) as session:
+            await far.answered.wait()
+            tell(tables, near, far)
+            await near.ended.wait()  # it was tried, and left
+            near.opened.clear()
+            for _ in range(20):
+                far.answered.clear()
+                await far.answered.wait()
+            assert not near.opened.is_set()
+            assert session.connection is not None and session.connection.peer_zone == "b"
+
+    run(test)
