--- a/eiderhub/balancer.py
+++ b/eiderhub/balancer.py
@@ -92,7 +92,7 @@
 ANSWER_MARGIN_US = 60_000  # a held call is answered this long before its try ends: early enough to be retried
 
 # --- endpoints ---
-CROSSING = 1.0  # a farther endpoint gets the call if it has more than so many calls less out, over all copies
+CROWDED, CROSSING = 0.5, 0.125  # a nearer endpoint this full is passed over for one that is so much emptier
 SENT_DECAY = 0.95  # of the work sent, kept from one refill window to the next: a memory of ten seconds
 LEAST_SPARE = 0.1  # part of an even share that free classes keep at endpoints that a bound class fills
 SUBSET_MIN, SUBSET_PER_CALL = 5, 2.0  # endpoints in use, and for each call of the cap; few have evidence
@@ -389,9 +389,9 @@
     """What this instance knows of one endpoint: its listing, own calls, health and slow start."""
 
     __slots__ = (
-        "busy", "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
+        "cell", "credit", "credit_at", "ejected_until", "ejections", "failed_at", "failing", "id",
         "in_flight", "kind", "launched", "on_trial", "order", "owes", "ready", "rested_at", "rests_until",
-        "slow", "turned", "used", "weight", "zone",
+        "slow", "taken", "turned", "used", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, entry: Endpoint) -> None:
@@ -400,7 +400,7 @@
         self.in_flight = self.failed_at = self.rested_at = 0
         self.owes = 0  # since when calls are out to it and none has been answered; 0: none are
         self.credit, self.credit_at = -1.0, 0  # sends that it may have while cold; below 0: not begun
-        self.busy = 0  # calls out to it over all copies; 0 where that is not known
+        self.taken = 0.0  # share of its places, over all copies and with one call more; 0: not known
         self.launched = self.used = 0  # when a connection to it was last in use; 0: never
         self.recover()
         self.take(entry)
@@ -897,9 +897,9 @@
                 continue
             if ring and best is None and not barren and not self._worth_crossing(now, call, ring):
                 return False
-            if (e := self._pick(now, pool, call)) and (best is None or e.busy + CROSSING < best.busy):
+            if (e := self._pick(now, pool, call)) and (best is None or e.taken + CROSSING < best.taken):
                 best, its_pool = e, pool
-            if best is not None and (ring or not best.busy):
+            if best is not None and (ring or best.taken <= CROWDED):
                 break
         if best is not None:
             self._send(now, call, best, its_pool)
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -348,7 +348,7 @@
                 places = self._places.get(identity, 0)
                 elsewhere = others.get(identity, 0)
                 state.weight = (state.in_flight + 1) / activity.load(now, elsewhere, places)
-                state.busy = elsewhere + activity.calls
+                state.taken = (elsewhere + activity.calls + 1) / places if places else 0.0
 
     def calls_out(self) -> dict[str, int]:
         """Calls that are out now, by endpoint; those that have none are left out."""
