--- a/eiderhub/dataplane/activity.py
+++ b/eiderhub/dataplane/activity.py
@@ -11,7 +11,9 @@
 PAUSE_LOAD_US = 12_000  # so long a pause beyond that weighs as much as one call
 PROMPT_LOAD_TOKENS = 1_200  # so do so many tokens of prompts that wait to be read
 STREAM_LOAD = 0.04  # and a stream that runs weighs so much
-PLACES_LOAD = 8.0  # and what other sidecars have out, where it takes all of the endpoint's places
+# Calls of others weigh as streams while places are free; from a share of the places on all calls weigh more, by
+# so much for all places.
+CROWDED_SHARE, CROWDED_LOAD = 0.5, 8.0
 
 
 class EndpointActivity:
@@ -51,5 +53,6 @@
         """
         pause = now_us - self.last_event_us - USUAL_PAUSE_US if self.streams else 0
         reading = max(0, pause) / PAUSE_LOAD_US + self.prompt_tokens / PROMPT_LOAD_TOKENS
-        elsewhere = PLACES_LOAD * others / places if places > 0 else 0.0
-        return 1.0 + reading + STREAM_LOAD * self.streams + elsewhere
+        taken = (others + self.calls) / places if places > 0 else 0.0
+        crowded = CROWDED_LOAD * max(0.0, taken - CROWDED_SHARE)
+        return 1.0 + reading + STREAM_LOAD * (self.streams + others) + crowded
