--- a/eiderhub/dataplane/activity.py
+++ b/eiderhub/dataplane/activity.py
@@ -11,8 +11,8 @@
 PAUSE_LOAD_US = 12_000  # so long a pause beyond that weighs as much as one call
 PROMPT_LOAD_TOKENS = 1_200  # so do so many tokens of prompts that wait to be read
 STREAM_LOAD = 0.04  # and a stream that runs weighs so much
-# Calls of others weigh as streams while places are free; from a share of the places on all calls weigh more, by
-# so much for all places.
+# Calls of others weigh as streams while places are free; from a share of the places on all calls weigh more,
+# by so much for all places.
 CROWDED_SHARE, CROWDED_LOAD = 0.5, 8.0
 
 
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -48,8 +48,8 @@
 START_SHARE = 1.0  # of an endpoint's places that all sidecars together begin with
 START_MEDIAN = 0.12  # latency as a share of the objective that a new sidecar takes to be usual
 REMOTE_PART = 1.0  # of other zones' capacity: what all sidecars have out is known, and decides who crosses
-# Ready endpoints in the own zone from which on they are a ring of their own. Danger: fewer read all prompts of
-# the zone's clumps of arrivals, while those of other zones have none to read.
+# Ready endpoints in the own zone from which on they are a ring of their own. Danger: fewer read all prompts
+# of the zone's clumps of arrivals, while those of other zones have none to read.
 LEAST_NEAR = 5
 MAX_ATTEMPTS = 3  # sends of one call, those that were turned away included
 MOST_BODY = 1 << 20  # of an answer that is no stream
