Say what a process speaks; skip and count messages that are not known

Change: the first message of each connection carries a wire version and features; a message or a deflated frame goes only to a peer that said it takes it; unknown messages are counted, logged once a connection and skipped; broken frames are counted by kind; unknown words of enumerations have a meaning. Records of the state have a form, written only once each member's program reads it; a store of a newer form is refused before anything is written. status and /metrics tell how many processes speak which version.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -31,6 +31,7 @@
 from eiderhub.batch.turns import LateStarts, Turns, is_safe
 from eiderhub.batch.workers import Standing
 from eiderhub.coordination.messages import Write
+from eiderhub.coordination.wire import OWN_SUPPORT
 
 # While a job moves nowhere, sidecars not answered lately are asked so often to probe an endpoint.
 PROBE_S = 0.5
@@ -101,7 +102,7 @@
         session = Session(message.node, now)
         self._sessions[message.node] = session
         self._gone.pop(message.node, None)
-        self._send(session, WorkerAccepted(self._epoch))
+        self._send(session, WorkerAccepted(self._epoch, OWN_SUPPORT))
         self.scheduler.join(now, message.node, message.zone, message.reach)
         for item in self.table.running_at(message.node):
             item.order = 0  # of an earlier session
--- a/eiderhub/batch/ledger.py
+++ b/eiderhub/batch/ledger.py
@@ -22,6 +22,7 @@
     WorkerOpen,
     WorkerReport,
 )
+from eiderhub.coordination.wire import OWN_SUPPORT
 
 # Ends that say nothing of the sidecar's way to endpoints.
 OF_THE_ITEM_ALONE = (ReturnReason.STOPPING, ReturnReason.ROUTE_MOVED, ReturnReason.UNKNOWN_ROUTE)
@@ -75,7 +76,7 @@
         """The first message of a new session."""
         self.accepted = False
         self._received = 0
-        return WorkerOpen(self._node, self._zone, self.keys, self._reach)
+        return WorkerOpen(self._node, self._zone, self.keys, self._reach, OWN_SUPPORT)
 
     def accept(self, now: float) -> list[BatchMessage]:
         """The primary has taken the session: what has begun, what ended meanwhile, and what is held now."""
--- a/eiderhub/batch/messages.py
+++ b/eiderhub/batch/messages.py
@@ -10,6 +10,8 @@
 
 from msgspec import Struct
 
+from eiderhub.coordination.wire import UNTOLD, WireSupport
+
 REPORT_S = 1.0  # a sidecar says so often what it holds
 SILENT_S = 3.0  # a session whose other side has said nothing for so long is ended
 
@@ -26,6 +28,11 @@
     ANSWERED = "answered"  # they have answered its latest calls
     UNANSWERED = "unanswered"  # they have answered none since it gave an item back
 
+    @classmethod
+    def _missing_(cls, value: object) -> Reach:
+        """A newer program's word."""
+        return cls.UNKNOWN
+
 
 class WorkerOpen(Struct, tag=True, frozen=True):
     """An edge sidecar announces itself, and the items that it runs."""
@@ -34,10 +41,12 @@
     zone: str
     running: list[ItemKey]
     reach: Reach = Reach.UNKNOWN
+    support: WireSupport = UNTOLD
 
 
 class WorkerAccepted(Struct, tag=True, frozen=True):
     epoch: int
+    support: WireSupport = UNTOLD
 
 
 class WorkerReport(Struct, tag=True, frozen=True):
@@ -154,6 +163,11 @@
     UNKNOWN_ROUTE = "unknown route"  # the sidecar's configuration does not have the item's route
     STOPPING = "stopping"  # the sidecar ends
 
+    @classmethod
+    def _missing_(cls, value: object) -> ReturnReason:
+        """A newer program's word."""
+        return cls.FAILED
+
 
 class ItemReturned(Struct, tag=True, frozen=True):
     """The sidecar does not run the item any more; `errors`: answers of 500 that it has seen for the item."""
--- a/eiderhub/cli/tier.py
+++ b/eiderhub/cli/tier.py
@@ -73,8 +73,10 @@
     told: dict[str, Any] = json.loads(body)
     for key in ("node", "leads", "epoch", "version", "generation", "primary", "sidecars"):
         print(f"{key:<12}{told[key]}")
+    for version, count in told.get("wire_versions", {}).items():
+        print(f"  wire version {version}: {count} processes")
     for node in told["nodes"]:
-        print(f"  {node['role']:<9}{node['name']:<28}{node['zone']}")
+        print(f"  {node['role']:<9}{node['name']:<28}{node['zone']:<20}wire {node.get('wire_version', 1)}")
     return 0
 
 
--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct
 
+from eiderhub.coordination.wire import UNTOLD, UNTOLD_VERSION, WireSupport
+
 
 class TableVersion(NamedTuple):
     """Orders the states of a table that is rebuilt by each primary."""
@@ -21,6 +23,7 @@
     role: str  # edge, control or storage
     zone: str
     identity: str = ""  # of its replica, where it has one: id@host:port
+    wire_version: int = UNTOLD_VERSION
 
 
 class EndpointRecord(Struct, array_like=True, frozen=True):
@@ -43,15 +46,23 @@
 
 
 class Hello(Struct, tag=True, frozen=True):
-    """First message of a connection between replicas."""
+    """First message of a connection between replicas, from either side."""
 
     node: NodeRecord
+    support: WireSupport = UNTOLD
 
 
 class SessionOpen(Struct, tag=True, frozen=True):
     """First message of a session with a control node."""
 
     node: NodeRecord
+    support: WireSupport = UNTOLD
+
+
+class SessionAccepted(Struct, tag=True, frozen=True):
+    """The control node's answer to `SessionOpen`, where the other side takes it: what the node speaks."""
+
+    support: WireSupport
 
 
 class StorageReport(Struct, array_like=True, frozen=True):
@@ -124,6 +135,7 @@
     sidecars: int
     storage_group: list[str]  # the members that it was founded with; empty: not founded
     retirements: list[Retirement]
+    wire_versions: dict[str, int] = {}  # how many processes speak each
 
 
 class SpendingUpdate(Struct, tag=True, frozen=True):
@@ -152,5 +164,6 @@
     ConfigurationUpdate | ConfigurationDelta | EndpointsUpdate | EndpointsDelta | NodesUpdate | SpendingUpdate
 )
 SessionMessage = (
-    Hello | SessionOpen | SessionPing | SessionPong | LoadUpdate | TableUpdate | LeaseRequest | LeaseAnswer
+    Hello | SessionOpen | SessionAccepted | SessionPing | SessionPong | LoadUpdate | TableUpdate
+    | LeaseRequest | LeaseAnswer
 )  # fmt: skip
--- a/eiderhub/control/sessions.py
+++ b/eiderhub/control/sessions.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from eiderhub.control.messages import NodeRecord
 
 SILENT_S = 1.5  # a session that says nothing for so long has ended
@@ -46,6 +48,12 @@
         restored_at = self._reported.get(RESTORED, ([], -SILENT_S))[1]
         return max(count, self._restored_sidecars) if now - restored_at < SILENT_S else count
 
+    def wire_versions(self, now: float, own: NodeRecord) -> dict[str, int]:
+        """How many processes speak each version, the primary's own among them."""
+        known = {(n.name, n.role): n for n in [*self.all(now), own]}
+        counts = Counter(node.wire_version for node in known.values())
+        return {str(version): counts[version] for version in sorted(counts)}
+
     def all(self, now: float) -> list[NodeRecord]:
         """Every node, in one order."""
         found = {(n.name, n.role): n for n in self.own(now)}
--- a/eiderhub/coordination/catch_up.py
+++ b/eiderhub/coordination/catch_up.py
@@ -10,6 +10,7 @@
 
 from collections import deque
 
+from eiderhub.coordination.forms import FIRST_FORM
 from eiderhub.coordination.messages import Position, Replicated, Staged, Update
 from eiderhub.coordination.store import Chunk
 
@@ -86,12 +87,13 @@
 class Peer:
     """What a primary knows of another replica."""
 
-    __slots__ = ("caught_up_at", "heard", "matched", "sent", "transfer")
+    __slots__ = ("caught_up_at", "heard", "matched", "reads_form", "sent", "transfer")
 
     def __init__(self, now: float) -> None:
         self.caught_up_at = 0.0  # when it was last sent what it lacked
         self.heard = now  # when it answered last
         self.matched: Position | None = None  # synced there, as told in this epoch
+        self.reads_form = FIRST_FORM  # newest form of the state that it has said that it reads
         self.sent: Position | None = None  # sent up to here on this connection; None: ask first
         self.transfer: SnapshotTransfer | None = None
 
@@ -99,3 +101,4 @@
         """What was sent on the old connection may be lost."""
         self.sent = None
         self.transfer = None
+        self.reads_form = FIRST_FORM  # another program may have been started there
--- a/eiderhub/coordination/messages.py
+++ b/eiderhub/coordination/messages.py
@@ -6,6 +6,8 @@
 
 from msgspec import Struct
 
+from eiderhub.coordination.forms import FIRST_FORM
+
 
 class Position(NamedTuple):
     """How far a replica's state has come: versions rise by one; the epoch names the primary that wrote it."""
@@ -62,7 +64,7 @@
     sent_at: float
 
 
-class Replicated(Struct, tag=True, frozen=True):
+class Replicated(Struct, tag=True, frozen=True, omit_defaults=True):
     """Replica to primary: what it has synced. `gap`: what was sent did not follow what it has."""
 
     epoch: int
@@ -70,6 +72,7 @@
     sent_at: float
     gap: bool = False
     staged: Staged | None = None
+    reads_form: int = FIRST_FORM  # newest form of the state that the replica's program reads
 
 
 class RequestEpoch(Struct, tag=True, frozen=True):
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -19,6 +19,15 @@
 from typing import NamedTuple
 
 from eiderhub.coordination.catch_up import CHUNK_BYTES, History, Peer, SnapshotTransfer
+from eiderhub.coordination.forms import (
+    FIRST_FORM,
+    FORM_KEY,
+    OWN_FORMS,
+    StateForms,
+    decode_form,
+    encode_form,
+    next_form,
+)
 from eiderhub.coordination.lease import Lease
 from eiderhub.coordination.membership import (
     BARRED_KEY,
@@ -47,6 +56,8 @@
 from eiderhub.coordination.timing import GroupSize, Timing, majority
 from eiderhub.coordination.witness import WitnessView, judge
 
+GROUP_KEYS = frozenset({MEMBERS_KEY, BARRED_KEY, FORM_KEY})
+
 
 class Role(Enum):
     BACKUP = "backup"
@@ -70,8 +81,10 @@
         rng: random.Random,
         size: GroupSize | None = None,
         timing: Timing | None = None,
+        forms: StateForms = OWN_FORMS,
     ) -> None:
         self.identity = identity
+        self.forms = forms
         self.store = store
         self.timing = timing or Timing()
         self.candidates: list[str] = []  # replicas that want to belong, the one preferred first
@@ -79,6 +92,7 @@
         self.role = Role.BACKUP
         self.primary: str | None = None  # of the epoch that this replica follows
         self.committed = 0  # version; not stored: told by the primary
+        self.unreadable_form: int | None = None  # that a primary writes, and this program does not read
         self._size = size or GroupSize()
         self._random = rng
         self._read_group()
@@ -122,6 +136,11 @@
         """Identities that no primary of this group will ever admit."""
         return self._barred
 
+    @property
+    def form(self) -> int:
+        """The newest form in which records of the state may be written."""
+        return self._form
+
     def leads(self, now: float) -> bool:
         """Whether this replica is the primary for certain: reads may be answered from its state."""
         return (
@@ -263,8 +282,9 @@
 
     def _from_primary(self, now: float, sender: str, message: Replicate | SnapshotChunk) -> None:
         if self._is_outdated(message):
-            self._send(sender, Replicated(self.epoch, self.position, message.sent_at, gap=True))
+            self._send(sender, self._replicated(message, gap=True))
             return
+        self._refuse_unreadable(message)
         if message.epoch > self.epoch:
             self.store.grant(message.epoch)
         if self.role is not Role.BACKUP:
@@ -278,13 +298,32 @@
             follows = self._take_updates(message)
         if follows and self.position >= self._told_position(message):
             self.committed = max(self.committed, min(message.committed, self.position.version))
-        answer = Replicated(self.epoch, self.position, message.sent_at, not follows, self.store.staged)
-        self._send(sender, answer)
+        self._send(sender, self._replicated(message, not follows, self.store.staged))
+
+    def _replicated(
+        self, message: Replicate | SnapshotChunk, gap: bool, staged: Staged | None = None
+    ) -> Replicated:
+        """The answer to what a primary has sent."""
+        return Replicated(self.epoch, self.position, message.sent_at, gap, staged, self.forms.reads)
 
     def _is_outdated(self, message: Replicate | SnapshotChunk) -> bool:
         """Whether it comes from a primary whose epoch has passed."""
         return message.epoch < self.epoch
 
+    def _refuse_unreadable(self, message: Replicate | SnapshotChunk) -> None:
+        """Take nothing of a form that this program does not read: its state would be told wrongly.
+
+        Raises:
+            StoreFailed: the message would have the group write such a form.
+        """
+        updates = message.updates if isinstance(message, Replicate) else []
+        entries = message.entries if isinstance(message, SnapshotChunk) else []
+        writes = [*entries, *(write for update in updates for write in update.writes)]
+        told = [decode_form(write.value) for write in writes if write.key == FORM_KEY]
+        if any(form > self.forms.reads for form in told):
+            self.unreadable_form = max(told)
+            raise StoreFailed(f"records of form {max(told)}; this program reads up to {self.forms.reads}")
+
     @staticmethod
     def _told_position(message: Replicate | SnapshotChunk) -> Position:
         """The state that the message leads to."""
@@ -342,12 +381,13 @@
         return not chunk.after or self.store.staged == Staged(chunk.position, chunk.after)
 
     def _note(self, writes: list[Write]) -> None:
-        if any(write.key in (MEMBERS_KEY, BARRED_KEY) for write in writes):
+        if any(write.key in GROUP_KEYS for write in writes):
             self._read_group()
 
     def _read_group(self) -> None:
         self._members = decode_identities(self.store.get(MEMBERS_KEY))
         self._barred = decode_identities(self.store.get(BARRED_KEY))
+        self._form = decode_form(self.store.get(FORM_KEY))
 
     # --- witness and candidate ---
 
@@ -483,6 +523,7 @@
         if self.role is not Role.PRIMARY or peer is None or message.epoch != self.epoch:
             return
         peer.heard = now
+        peer.reads_form = message.reads_form
         self._lease.confirm(sender, message.sent_at)
         if message.gap and peer.sent is not None and message.sent_at <= peer.caught_up_at:
             return  # answers what was sent before that; the next heartbeat shows whether it arrived
@@ -580,6 +621,7 @@
             silent=frozenset(silent),
             synced=self.synced,
             heard=lambda identity: not self._silent(now, identity, self.timing.lease),
+            reads=lambda identity: identity == self.identity or self._reads_form(identity) >= self._form,
         )
 
     def _may_change_members(self, now: float) -> bool:
@@ -591,6 +633,10 @@
             return
         view = self._view(now)
         self._drop_learners(now, view)
+        form = self._next_form(view)
+        if form is not None:
+            self.propose(now, [Write(FORM_KEY, encode_form(form))])
+            return
         change = next_change(view, self._learners, self._size)
         if change is not None:
             self.propose(now, change.writes(view))
@@ -603,6 +649,16 @@
         if self.identity in view.leaving and len(view.live) >= self._size.least:
             self.transfer(now)
 
+    def _next_form(self, view: GroupView) -> int | None:
+        """The form that the group may go on to: each member reads it, those that are silent included."""
+        others = view.members - {self.identity}
+        return next_form(self._form, self.forms, [self._reads_form(other) for other in others])
+
+    def _reads_form(self, identity: str) -> int:
+        """The newest form that another replica's program has said that it reads."""
+        peer = self._peers.get(identity)
+        return peer.reads_form if peer is not None else FIRST_FORM
+
     def _teach(self, now: float, view: GroupView) -> None:
         learner = next_learner(view, self._learners, self.candidates, self._given_up)
         if learner is not None:
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -39,7 +39,8 @@
 from eiderhub.dataplane.events import Event
 from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route
-from eiderhub.transport.framing import Connection, Message, connect
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection, connect
 from eiderhub.transport.tasks import TaskSet
 
 RETRY_S = 0.1
@@ -277,6 +278,7 @@
             return
         self._ledger.heard(self.now())
         if isinstance(message, WorkerAccepted):
+            connection.support = message.support
             self._accepted()
         elif isinstance(message, Redirect):
             self._hint = message.primary.partition("@")[2]
--- a/eiderhub/programs/control.py
+++ b/eiderhub/programs/control.py
@@ -10,6 +10,7 @@
 
 from eiderhub import address
 from eiderhub.control.messages import NodeRecord
+from eiderhub.coordination.wire import WIRE_VERSION
 from eiderhub.programs import starting
 from eiderhub.programs.control_service import ControlService
 from eiderhub.programs.replica_host import open_store
@@ -33,7 +34,7 @@
     founder = settings.bootstrap and own in seeds
     identity = founding_identity(own) if founder else f"{uuid.uuid4().hex[:10]}@{own}"
     store = open_store(settings, identity)
-    node = NodeRecord(settings.node_name, "control", settings.zone, store.identity)
+    node = NodeRecord(settings.node_name, "control", settings.zone, store.identity, WIRE_VERSION)
     service = ControlService(settings, store, node)
     if founder:
         service.group.replica.bootstrap(founding_identity(seed) for seed in seeds)
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -24,6 +24,7 @@
     LoadUpdate,
     NodeRecord,
     NodesUpdate,
+    SessionAccepted,
     SessionOpen,
     SessionPing,
     SpendingUpdate,
@@ -36,15 +37,18 @@
 from eiderhub.coordination.messages import Write
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.timing import GroupSize, copies_needed
+from eiderhub.coordination.wire import OWN_SUPPORT
 from eiderhub.programs.operator_service import OperatorService
 from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
 from eiderhub.programs.storage_tending import StorageTending
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession
-from eiderhub.transport.framing import Connection, Message
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection
 from eiderhub.transport.group import CommitUnknown, NotPrimary
 from eiderhub.transport.traffic import TRAFFIC
+from eiderhub.transport.wire_counts import WIRE_COUNTS
 
 PUBLISH_S = 0.1  # how often the session table is looked at for changes
 SETTLE_S = 1.2  # a new primary waits so long for sessions to come back before it publishes who is there
@@ -115,8 +119,7 @@
         if self._host.on_message(connection, message):
             return
         if isinstance(message, SessionOpen):
-            self._sessions[connection] = Session(message.node, Subscriber())
-            connection.peer_zone = message.node.zone
+            self._open(connection, message)
         elif isinstance(message, SessionPing):
             self._on_ping(connection, message)
         elif isinstance(message, LeaseRequest):
@@ -124,6 +127,12 @@
             self._leasing.add(task)
             task.add_done_callback(self._leasing.discard)
 
+    def _open(self, connection: Connection, message: SessionOpen) -> None:
+        self._sessions[connection] = Session(message.node, Subscriber())
+        connection.peer_zone = message.node.zone
+        connection.support = message.support
+        connection.send(SessionAccepted(OWN_SUPPORT))
+
     def on_closed(self, connection: Connection) -> None:
         self._host.on_closed(connection)
         self._sessions.pop(connection, None)
@@ -289,10 +298,12 @@
         nodes = self._table.named(self._now())
         sidecars = self._table.sidecars(self._now())
         if self._node not in nodes:
-            nodes = [*nodes, self._node]
+            own = (self._node.name, self._node.role)
+            nodes = [*(node for node in nodes if (node.name, node.role) != own), self._node]
         retirements = retirement.published(self.operator.orders())
         current = self.tables.nodes
-        made = NodesUpdate(current.version, nodes, sidecars, self._storage.founders(), retirements)
+        versions = self._table.wire_versions(self._now(), self._node)
+        made = NodesUpdate(current.version, nodes, sidecars, self._storage.founders(), retirements, versions)
         if made != current:
             self.tables.apply(msgspec.structs.replace(made, version=self._next_version()))
             self._push()
@@ -339,10 +350,13 @@
             f"epoch {replica.epoch}",
             f"version {replica.position.version}",
             f"committed {replica.committed}",
+            f"form {replica.form}",
             f"generation {self.tables.configuration.generation}",
+            *(f'wire_processes{{version="{v}"}} {n}' for v, n in self.tables.nodes.wire_versions.items()),
             f"endpoints {len(self.tables.endpoints.endpoints)}",
             f"nodes {len(self.tables.nodes.nodes)}",
             *TRAFFIC.lines(),
+            *WIRE_COUNTS.lines(),
         ]
 
     async def stop(self) -> None:
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -18,6 +18,7 @@
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import STATUS, ErrorKind
 from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord, SessionPing
+from eiderhub.coordination.wire import WIRE_VERSION
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.drain import Drain
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
@@ -29,6 +30,7 @@
 from eiderhub.transport.spending import Charge, Spending
 from eiderhub.transport.tasks import TaskSet
 from eiderhub.transport.traffic import TRAFFIC
+from eiderhub.transport.wire_counts import WIRE_COUNTS
 
 LOTS, ITEMS = "/lots/", "/items/"
 MOST_WAIT_MS = 1000  # that a read of results is held
@@ -46,7 +48,7 @@
     def __init__(self, settings: TierSettings) -> None:
         self._settings = settings
         self._rng = random.Random(f"{settings.node_name} {random.random()}")
-        self._node = NodeRecord(settings.node_name, "edge", settings.zone)
+        self._node = NodeRecord(settings.node_name, "edge", settings.zone, wire_version=WIRE_VERSION)
         self.tables = Tables()
         self._routes: RouteTable | None = None
         self._endpoints_version = self.tables.endpoints.version
@@ -286,7 +288,7 @@
         lines += [f"generation {self.tables.configuration.generation}"]
         for name, admission in self._admissions.items():
             lines += [f'{figure}{{service="{name}"}} {value}' for figure, value in admission.figures()]
-        return lines + self._runner.metrics() + TRAFFIC.lines()
+        return lines + self._runner.metrics() + TRAFFIC.lines() + WIRE_COUNTS.lines()
 
     # --- the end ---
 
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -34,6 +34,7 @@
     name: str
     role: str
     zone: str
+    wire_version: int
 
 
 class Status(msgspec.Struct):
@@ -47,6 +48,8 @@
     primary: str
     members: list[str]
     sidecars: int
+    wire_versions: dict[str, int]  # how many processes, sidecars too, speak each
+    form: int  # in which records of the control state may be written
     nodes: list[NodeStatus]
 
 
@@ -113,7 +116,9 @@
             primary=replica.primary or "",
             members=sorted(replica.members),
             sidecars=self._tables.nodes.sidecars,
-            nodes=[NodeStatus(n.name, n.role, n.zone) for n in self._tables.nodes.nodes],
+            wire_versions=self._tables.nodes.wire_versions,
+            form=replica.form,
+            nodes=[NodeStatus(n.name, n.role, n.zone, n.wire_version) for n in self._tables.nodes.nodes],
         )
         return Reply(HTTPStatus.OK, msgspec.json.encode(status))
 
--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -16,7 +16,8 @@
 from eiderhub.coordination.timing import GroupSize
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore, StoreUnusable
-from eiderhub.transport.framing import Connection, Message
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection
 from eiderhub.transport.group import GroupDriver
 
 TRANSFER_WAIT_S = 0.4  # a planned transfer is over by then
@@ -55,7 +56,7 @@
         """Take a message between replicas; false where it is none."""
         if isinstance(message, Hello):
             self._connections[connection] = message.node
-            self.group.greeted(connection, message.node)
+            self.group.greeted(connection, message.node, message.support)
         elif isinstance(message, REPLICA_MESSAGES):
             if connection in self._connections:
                 self.group.received(self._connections[connection].identity, message)
--- a/eiderhub/programs/storage.py
+++ b/eiderhub/programs/storage.py
@@ -8,6 +8,7 @@
 import picologging as logging
 
 from eiderhub.control.messages import NodeRecord
+from eiderhub.coordination.wire import WIRE_VERSION
 from eiderhub.programs import starting
 from eiderhub.programs.replica_host import open_store
 from eiderhub.programs.settings import TierSettings
@@ -25,7 +26,7 @@
     port = settings.first_port + PORT_OFFSET
     identity = f"{uuid.uuid4().hex[:10]}@{settings.ip}:{port}"
     store = open_store(settings, identity)
-    node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity)
+    node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity, WIRE_VERSION)
     service = StorageService(settings, store, node)
     await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
     await serve_metrics(service.metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -36,11 +36,13 @@
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession, control_candidates
-from eiderhub.transport.framing import Connection, Message
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection
 from eiderhub.transport.group import CommitUnknown, NotPrimary
 from eiderhub.transport.spending import Spending
 from eiderhub.transport.tasks import TaskSet
 from eiderhub.transport.traffic import TRAFFIC
+from eiderhub.transport.wire_counts import WIRE_COUNTS
 
 DISPATCH_S = 0.02
 FAULT_PAUSE_S = 1.0  # after a fault of the program itself, before the dispatcher goes on
@@ -173,6 +175,7 @@
         session = self._dispatch.open(self._now(), message)
         self._sessions[connection] = session
         connection.peer_zone = message.zone
+        connection.support = message.support
         self._connections[session] = connection
         self._flush()
 
@@ -312,9 +315,11 @@
             f"epoch {replica.epoch}",
             f"version {replica.position.version}",
             f"committed {replica.committed}",
+            f"form {replica.form}",
             f"store_used_bytes {self._store.used_bytes}",
             f"store_limit_bytes {self._store.limit_bytes}",
             *TRAFFIC.lines(),
+            *WIRE_COUNTS.lines(),
         ]
         if not self.group.leads():
             return lines
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -14,6 +14,7 @@
 import lmdb
 import msgspec
 
+from eiderhub.coordination.forms import FORM_KEY, OWN_FORMS, decode_form
 from eiderhub.coordination.messages import Position, Staged, Update, Write
 from eiderhub.coordination.store import NOWHERE, Chunk, StoreFailed
 
@@ -34,13 +35,24 @@
 class LmdbStore:
     """Implements `ReplicaStore`. A call returns once its effect has been synced."""
 
-    def __init__(self, folder: Path, disk_mb: float, identity: str = "", read_only: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        disk_mb: float,
+        identity: str = "",
+        read_only: bool = False,
+        reads_form: int = OWN_FORMS.reads,
+    ) -> None:
         """`identity` is for a new store; one that exists keeps its own.
 
+        One that a newer program has written in a form that this one does not read is refused before anything
+        is written.
+
         Raises:
             StoreUnusable: there is none to read, or it can't be opened.
         """
         path = self._path = folder / FILE_NAME
+        self._reads_form = reads_form
         self.created = not path.exists()
         if self.created and read_only:
             raise StoreUnusable(f"{path}: there is no store")
@@ -49,12 +61,42 @@
         self._map_bytes = max(LEAST_MAP_BYTES, int(disk_mb * DISK_SHARE) << 20)
         self._read_only = read_only
         try:
+            if not self.created:
+                self._refuse_newer()
             self._open()
             if self.created:
                 self._initialise(folder, identity)
         except (lmdb.Error, OSError, msgspec.DecodeError) as error:
             raise StoreUnusable(f"{path}: {error}") from error
 
+    def _refuse_newer(self) -> None:
+        """Look, without writing, whether this program reads what is there.
+
+        Raises:
+            StoreUnusable: it does not.
+        """
+        with lmdb.open(str(self._path), subdir=False, max_dbs=3, lock=False, readonly=True) as environment:
+            try:
+                meta = environment.open_db(b"meta", create=False)
+                with environment.begin() as transaction:
+                    version = int(transaction.get(VERSION_KEY, db=meta) or STORE_VERSION)
+                    active = int(transaction.get(ACTIVE_KEY, db=meta) or 0)
+                data = environment.open_db(TABLES[active], create=False)
+            except lmdb.NotFoundError:
+                return  # made, and never finished
+            with environment.begin() as transaction:
+                form = decode_form(transaction.get(FORM_KEY.encode(), db=data))
+        if version != STORE_VERSION:
+            raise StoreUnusable(
+                f"{self._path}: store version {version}; this program reads {STORE_VERSION}: start the "
+                "program that wrote it"
+            )
+        if form > self._reads_form:
+            raise StoreUnusable(
+                f"{self._path}: records of form {form}; this program reads up to {self._reads_form}: start a "
+                "newer program"
+            )
+
     def _open(self) -> None:
         self._environment = lmdb.open(
             str(self._path),
@@ -96,8 +138,6 @@
             version = transaction.get(VERSION_KEY, db=self._meta)
             if version is None:
                 self.created = True  # made, and never finished
-            elif int(version) != STORE_VERSION:
-                raise StoreUnusable(f"store version {int(version)}; this program reads {STORE_VERSION}")
             self.identity = (transaction.get(IDENTITY_KEY, db=self._meta) or b"").decode()
             self._epoch = int(transaction.get(EPOCH_KEY, db=self._meta) or 0)
             position = transaction.get(POSITION_KEY, db=self._meta)
--- a/eiderhub/transport/control_session.py
+++ b/eiderhub/transport/control_session.py
@@ -16,12 +16,15 @@
     LeaseRequest,
     LoadUpdate,
     NodeRecord,
+    SessionAccepted,
     SessionOpen,
     SessionPing,
     SessionPong,
     TableUpdate,
 )
-from eiderhub.transport.framing import Connection, Message, connect
+from eiderhub.coordination.wire import OWN_SUPPORT
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection, connect
 
 PING_S = 0.25
 RETRY_S = 0.1
@@ -92,7 +95,7 @@
         self._ended.clear()
         self.connection = connection
         connection.peer_zone = zone_of(self._tables, target)
-        connection.send(SessionOpen(self._node))
+        connection.send(SessionOpen(self._node, OWN_SUPPORT))
         search = _NearerSearch(self, opened)
         while not connection.closed:
             connection.send(self._ping())
@@ -141,7 +144,9 @@
     def on_message(self, connection: Connection, message: Message) -> None:
         if connection is not self.connection:
             return
-        if isinstance(message, SessionPong):
+        if isinstance(message, SessionAccepted):
+            connection.support = message.support
+        elif isinstance(message, SessionPong):
             self.freshness.answered(message.sent_at, message.age_s)
         elif isinstance(message, LeaseAnswer):
             self._on_lease(message)
--- a/eiderhub/transport/framing.py
+++ b/eiderhub/transport/framing.py
@@ -1,57 +1,30 @@
-"""Framed messages over TCP: a length in four bytes, then msgpack of one tagged message.
+"""Connections that carry framed messages over TCP, opened by either side.
 
-Larger messages to another zone are deflated, where that makes them smaller: bytes between zones are paid for.
-The highest bit of the length says so.
+A message of a type that this program does not know is counted and skipped; a frame that no message can be
+read from ends its connection. A peer is sent only what it has said that it takes.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
-import struct
-import zlib
 from collections.abc import Callable
 from typing import Protocol, cast
 
-import msgspec
+import picologging as logging
 
-from eiderhub.batch.messages import BatchMessage
-from eiderhub.control.messages import SessionMessage
-from eiderhub.coordination.messages import ReplicaMessage
+from eiderhub.coordination.wire import UNTOLD, Feature, WireSupport
+from eiderhub.transport import frames
+from eiderhub.transport.frames import FrameBroken, Message, Unknown
 from eiderhub.transport.traffic import TRAFFIC
+from eiderhub.transport.wire_counts import WIRE_COUNTS
 
-Message = ReplicaMessage | SessionMessage | BatchMessage
-
-LENGTH = struct.Struct(">I")
-MOST_MESSAGE = 64 << 20  # bytes, inflated
-DEFLATED = 1 << 31  # in the length
-DEFLATE_FROM = 300  # bytes
-DEFLATE_LEVEL = 1
 MOST_UNSENT = 96 << 20  # bytes that a peer may leave unread
 UNACKNOWLEDGED_MS = 1500  # a connection whose bytes are not acknowledged for so long is broken
 KEEPALIVE_S, KEEPALIVE_PROBES = 1, 2
 CONNECT_S = 0.5
 
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(Message).decode
-
-
-def _deflated(data: bytes) -> tuple[int, bytes]:
-    """The flag for the length, and what to send."""
-    if len(data) >= DEFLATE_FROM:
-        smaller = zlib.compress(data, DEFLATE_LEVEL)
-        if len(smaller) < len(data):
-            return DEFLATED, smaller
-    return 0, data
-
-
-def _inflated(data: bytes) -> bytes:
-    """Raises zlib.error: it is no deflated message, or longer than one may be."""
-    stream = zlib.decompressobj()
-    inflated = stream.decompress(data, MOST_MESSAGE)
-    if not stream.eof:
-        raise zlib.error("cut short, or too long")
-    return inflated
+log = logging.getLogger("wire")
 
 
 class Handler(Protocol):
@@ -71,6 +44,8 @@
         self._buffer = bytearray()
         self.closed = False
         self.peer_zone = ""  # empty: not known
+        self.support: WireSupport = UNTOLD  # what the peer has said that it takes
+        self._told_unknown = False  # an unknown message has been logged
         self.heard_at = asyncio.get_running_loop().time()  # when anything came last
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -88,12 +63,14 @@
     def send(self, message: Message) -> None:
         if self.closed:
             return
-        data = _encode(message)
-        flag = 0
-        if TRAFFIC.crosses(self.peer_zone):
-            flag, data = _deflated(data)
-            TRAFFIC.sent(type(message).__name__, LENGTH.size + len(data))
-        self._transport.write(LENGTH.pack(flag | len(data)) + data)
+        if not frames.takes(self.support, message):
+            WIRE_COUNTS.withheld(type(message).__name__)
+            return
+        crosses = TRAFFIC.crosses(self.peer_zone)
+        frame = frames.encoded(message, deflate=crosses and self.support.takes(Feature.DEFLATE))
+        if crosses:
+            TRAFFIC.sent(type(message).__name__, len(frame))
+        self._transport.write(frame)
         if self._transport.get_write_buffer_size() > MOST_UNSENT:
             self.close()
 
@@ -106,25 +83,33 @@
         buffer = self._buffer
         buffer += data
         start = 0
-        while len(buffer) - start >= LENGTH.size and not self.closed:
-            (told,) = LENGTH.unpack_from(buffer, start)
-            size = told & ~DEFLATED
-            if size > MOST_MESSAGE:
-                self.close()
-                return
-            end = start + LENGTH.size + size
-            if len(buffer) < end:
-                break
-            try:
-                body = memoryview(buffer)[start + LENGTH.size : end].tobytes()
-                message = _decode(_inflated(body) if told & DEFLATED else body)
-            except (msgspec.DecodeError, zlib.error):
-                self.close()
-                return
-            start = end
-            self._handler.on_message(self, message)
+        try:
+            while not self.closed and (end := frames.frame_end(buffer, start)) is not None:
+                message = frames.decoded(buffer, start, end)
+                start = end
+                if isinstance(message, Unknown):
+                    self._skip(message)
+                else:
+                    self._handler.on_message(self, message)
+        except FrameBroken as error:
+            WIRE_COUNTS.broken(error.fault)
+            log.warning("%s has sent a frame that cannot be read: %s", self._peer(), error)
+            self.close()
+            return
         del buffer[:start]
 
+    def _skip(self, message: Unknown) -> None:
+        """A newer program's message: it is not for us, and what comes behind it is."""
+        WIRE_COUNTS.skipped(message.kind)
+        if not self._told_unknown:
+            self._told_unknown = True
+            log.warning("%s sends messages that are not known here: %.40s", self._peer(), message.kind)
+
+    def _peer(self) -> str:
+        """Where the other side is, for the log."""
+        name = self._transport.get_extra_info("peername")
+        return f"{name[0]}:{name[1]}" if name else "a peer"
+
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.closed:
             self.closed = True
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -15,7 +15,9 @@
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.roster import Roster, address_of
 from eiderhub.coordination.store import StoreFailed
-from eiderhub.transport.framing import Connection, Message, connect
+from eiderhub.coordination.wire import OWN_SUPPORT, WireSupport
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection, connect
 
 TICK_S = 0.05
 RECONNECT_S = 0.2
@@ -49,7 +51,7 @@
             if connection is not None:
                 self._ended.clear()
                 self.connection = connection
-                connection.send(Hello(self.group.node))
+                connection.send(Hello(self.group.node, OWN_SUPPORT))
                 self.group.on_link_open(self)
                 if not connection.closed:
                     await self._ended.wait()
@@ -60,6 +62,7 @@
         """The other side only says its name."""
         if isinstance(message, Hello):
             connection.peer_zone = message.node.zone
+            connection.support = message.support
 
     def on_closed(self, connection: Connection) -> None:
         self.connection = None
@@ -77,6 +80,7 @@
         self._links: dict[str, Link] = {}  # by address
         self._incoming: dict[str, Connection] = {}  # by identity
         self._logged_members: frozenset[str] = frozenset()
+        self._told_unreadable = False
         self._writes: list[Write] = []
         self._waiting: list[asyncio.Future[None]] = []  # for the writes that are not proposed yet
         self._commits: CommitQueue[asyncio.Future[None]] = CommitQueue(replica)
@@ -198,14 +202,15 @@
                 self.replica.connected(self.now(), identity)
         self._after()
 
-    def greeted(self, connection: Connection, node: NodeRecord) -> None:
+    def greeted(self, connection: Connection, node: NodeRecord, support: WireSupport) -> None:
         """Another replica has connected to us."""
         for identity in [i for i in self._incoming if address_of(i) == address_of(node.identity)]:
             del self._incoming[identity]
         self._incoming[node.identity] = connection
         connection.peer_zone = node.zone
+        connection.support = support
         self.roster.greeted(node.identity, node.name, node.zone)
-        connection.send(Hello(self.node))
+        connection.send(Hello(self.node, OWN_SUPPORT))
         self.know(address_of(node.identity))
 
     def received(self, sender: str, message: ReplicaMessage) -> None:
@@ -239,6 +244,7 @@
         """Send what the replica wants sent, and tell of what may have changed, until no more comes of it."""
         self._send_all()
         self._resolve()
+        self._tell_unreadable()
         if self.replica.members != self._logged_members:
             self._logged_members = self.replica.members
             log.info("members %s", " ".join(sorted(self._logged_members)))
@@ -246,6 +252,13 @@
         if self.replica.outbox:
             self._after()
 
+    def _tell_unreadable(self) -> None:
+        form = self.replica.unreadable_form
+        if form is not None and not self._told_unreadable:
+            self._told_unreadable = True
+            log.error("the group writes records of form %d, which this program does not read: start a newer "
+                      "program", form)  # fmt: skip
+
     def _send_all(self) -> None:
         outbox, self.replica.outbox = self.replica.outbox, []
         for outgoing in outbox:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -12,8 +12,10 @@
 from eiderhub.coordination.messages import Write
 from eiderhub.coordination.replication import Replica, Role
 from eiderhub.coordination.timing import GroupSize
+from eiderhub.coordination.wire import OWN_SUPPORT
 from eiderhub.storage.store import MemoryStore
-from eiderhub.transport.framing import Connection, Message
+from eiderhub.transport.frames import Message
+from eiderhub.transport.framing import Connection
 from eiderhub.transport.group import GroupDriver, NotPrimary
 
 
@@ -73,8 +75,8 @@
         replica.bootstrap([own, "b@127.0.0.1:2", "c@127.0.0.1:3"])
         driver = GroupDriver(replica, record(own, "z0"), lambda: None)
         old, new = Silent(), Silent()
-        driver.greeted(cast(Connection, old), record("0old@127.0.0.1:9", "z9"))
-        driver.greeted(cast(Connection, new), record("new@127.0.0.1:9", "z9"))
+        driver.greeted(cast(Connection, old), record("0old@127.0.0.1:9", "z9"), OWN_SUPPORT)
+        driver.greeted(cast(Connection, new), record("new@127.0.0.1:9", "z9"), OWN_SUPPORT)
         replica.role = Role.PRIMARY
         driver.tend_members()
         assert replica.candidates == ["new@127.0.0.1:9"]
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -9,7 +9,9 @@
 import pytest
 
 from eiderhub.control.messages import ConfigurationUpdate, LeaseRequest, SessionPong
-from eiderhub.transport.framing import DEFLATED, LENGTH, MOST_MESSAGE, Connection, Message
+from eiderhub.coordination.wire import OWN_SUPPORT
+from eiderhub.transport.frames import DEFLATED, LENGTH, MOST_MESSAGE, Message
+from eiderhub.transport.framing import Connection
 from eiderhub.transport.traffic import TRAFFIC, ZoneTraffic
 
 
@@ -59,6 +61,7 @@
     wire = Wire()
     connection._transport = wire
     connection.peer_zone = zone
+    connection.support = OWN_SUPPORT
     return connection, wire, handler
 
 
