Frames, records and stores of the last two landings as test data; a rule for changed messages

Cause: nothing kept a message or record from being changed so that the last landing's programs cannot read it.

--- /dev/null
+++ b/tests/golden/record.py
@@ -0,0 +1,142 @@
+"""Record what the programs of a revision write: `python -m tests.golden.record REVISION`."""
+
+from __future__ import annotations
+
+import gzip
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import defopt
+
+from tests.tier_support import FAILING, Tier, document, route, wait_until
+
+HERE = Path(__file__).parent
+MESSAGE_MODULES = {
+    "coordination": "eiderhub/coordination/messages.py",
+    "control": "eiderhub/control/messages.py",
+    "batch": "eiderhub/batch/messages.py",
+}
+SUPPORT_MODULES = ("eiderhub/coordination/wire.py", "eiderhub/coordination/forms.py")  # of later revisions
+RECORDS = {
+    "eiderhub.batch.jobs": ["ItemRecord", "JobRecord", "ResultRecord"],
+    "eiderhub.control.retirement": ["RetireOrder"],
+}
+PRINT_RECORDS = """
+import importlib, inspect
+print("from __future__ import annotations\\n\\nimport msgspec\\nfrom msgspec import Struct")
+for module, names in {records!r}.items():
+    for name in names:
+        print("\\n\\n" + inspect.getsource(getattr(importlib.import_module(module), name)).rstrip())
+"""
+ITEMS = ["i1", "i2", "i3"]
+CAP_TOKENS = 1_000_000
+
+
+def source_of(revision: str, folder: Path) -> Path:
+    """The packages of a revision, in a folder of their own."""
+    archive = subprocess.run(["git", "archive", revision, "eiderhub"], check=True, capture_output=True).stdout
+    folder.mkdir(parents=True)
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive, check=True)
+    return folder
+
+
+def _print(source: Path, *words: str) -> str:
+    environment = os.environ | {"PYTHONPATH": str(source)}
+    done = subprocess.run(
+        [sys.executable, *words], cwd=source, env=environment, check=True, capture_output=True
+    )
+    return done.stdout.decode()
+
+
+def _definitions(source: Path, target: Path) -> None:
+    """The definitions of messages and records, as text."""
+    for name, file in MESSAGE_MODULES.items():
+        shutil.copy(source / file, target / f"{name}.txt")
+    for file in SUPPORT_MODULES:
+        if (source / file).exists():
+            shutil.copy(source / file, target / (Path(file).stem + ".txt"))
+    (target / "records.txt").write_text(_print(source, "-c", PRINT_RECORDS.format(records=RECORDS)))
+
+
+def _documents() -> tuple[dict[str, Any], dict[str, Any]]:
+    """Two generations of a configuration with a tenant that has a spending cap."""
+    made = [document(generation, route("paid", "idempotent", resumable=False)) for generation in (1, 2)]
+    for each in made:
+        each["tenants"] = [{"name": "payer", "routes": ["paid"], "spending_cap_tokens": CAP_TOKENS}]
+    made[1]["routes"][0]["timeout_ms"] = 21_000
+    return made[0], made[1]
+
+
+def _count(tier: Tier, job: str) -> int:
+    """How many results a job has."""
+    page = tier.results(tier.of("edge")[0], job)
+    return len(page["results"]) if page is not None else 0
+
+
+def _play(tier: Tier) -> None:
+    """Have every kind of record written: two generations, a job that is done, one that is ended, a lease."""
+    first, second = _documents()
+    assert tier.put(first, 0) == 200
+    tier.wait_ready()
+    assert tier.put(second, 1) == 200
+    edge = tier.of("edge")[0]
+    wait_until(lambda: tier.ask(edge, "/paid/x", "paid-1", tokens=50)[0] == 200, "a request paid for")
+    wait_until(lambda: tier.submit(edge, "job-done", ITEMS) == 202, "a job taken")
+    wait_until(lambda: _count(tier, "job-done") == len(ITEMS), "it is done")
+    for engine in tier.engines:
+        engine.hold.clear()  # from here on nothing is finished
+    wait_until(lambda: tier.submit(edge, "job-open", [*ITEMS, f"{FAILING}-1"]) == 202, "another job taken")
+    wait_until(lambda: _count(tier, "job-open") == 1, "one of its items is out of attempts")
+    wait_until(lambda: tier.submit(edge, "job-ended", ITEMS) == 202, "a third job taken")
+    ended = partial(tier.call, edge, "frontend", "DELETE", "/lots/job-ended", Host="tier.example")
+    wait_until(lambda: ended()[0] == 200, "the third job ended")
+    spare = tier.of("storage")[-1].name
+    wait_until(lambda: tier.operate("POST", f"/retire/{spare}", b"{}")[0] == 200, "a retirement ordered")
+
+
+def _stores(source: Path, target: Path) -> None:
+    """The stores of one control node and one storage node, after a planned stop."""
+    with tempfile.TemporaryDirectory() as folder:
+        tier = Tier(Path(folder), storage=4)
+        for program in tier.programs:
+            program.source = source
+        try:
+            tier.start()
+            _play(tier)
+            leaders = [tier.leader("control"), tier.leader("storage")]
+            for role in ("edge", "storage", "control"):
+                for program in tier.of(role):
+                    program.stop(signal.SIGTERM)
+        finally:
+            tier.close()
+        for leader in leaders:
+            store = Path(folder) / f"data-{leader.name}" / "replica.lmdb"
+            (target / f"{leader.role}.lmdb.gz").write_bytes(gzip.compress(store.read_bytes(), 9, mtime=0))
+
+
+def record(revision: str) -> None:
+    """Record what the programs of a revision write.
+
+    :param revision: a commit; its short name becomes the folder's
+    """
+    short = ["git", "rev-parse", "--short=7", f"{revision}^{{commit}}"]
+    name = subprocess.run(short, check=True, capture_output=True, text=True).stdout.strip()
+    target = HERE / f"landing-{name}"
+    target.mkdir()
+    with tempfile.TemporaryDirectory() as folder:
+        source = source_of(revision, Path(folder) / "source")
+        _definitions(source, target)
+        shutil.copy(HERE / "samples.py", source / "samples.py")
+        (target / "frames.json").write_text(_print(source, "samples.py"))
+        _stores(source, target)
+
+
+if __name__ == "__main__":
+    defopt.run(record)
--- a/tests/test_traffic.py
+++ b/tests/test_traffic.py
@@ -9,41 +9,9 @@
 import pytest
 
 from eiderhub.control.messages import ConfigurationUpdate, LeaseRequest, SessionPong
-from eiderhub.coordination.wire import OWN_SUPPORT
-from eiderhub.transport.frames import DEFLATED, LENGTH, MOST_MESSAGE, Message
-from eiderhub.transport.framing import Connection
+from eiderhub.transport.frames import DEFLATED, LENGTH, MOST_MESSAGE
 from eiderhub.transport.traffic import TRAFFIC, ZoneTraffic
-
-
-class Collected:
-    """A handler that keeps what came."""
-
-    def __init__(self) -> None:
-        self.messages: list[Message] = []
-        self.closed = False
-
-    def on_message(self, connection: Connection, message: Message) -> None:
-        self.messages.append(message)
-
-    def on_closed(self, connection: Connection) -> None:
-        self.closed = True
-
-
-class Wire(asyncio.Transport):
-    """Keeps what was written."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.written = b""
-
-    def write(self, data: bytes | bytearray | memoryview) -> None:
-        self.written += bytes(data)
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def abort(self) -> None:
-        """Nothing: there is no socket."""
+from tests.connection_support import connection_to
 
 
 @pytest.fixture
@@ -55,16 +23,6 @@
     TRAFFIC.reset()
 
 
-async def connection_to(zone: str) -> tuple[Connection, Wire, Collected]:
-    handler = Collected()
-    connection = Connection(handler)
-    wire = Wire()
-    connection._transport = wire
-    connection.peer_zone = zone
-    connection.support = OWN_SUPPORT
-    return connection, wire, handler
-
-
 PONG = SessionPong(1.5, 0.25)
 
 
--- a/tests/tier_support.py
+++ b/tests/tier_support.py
@@ -24,6 +24,7 @@
 SERVICE = "svc"
 HOST = "tier.example"
 EVENTS = 3
+FAILING = "fails"  # how the ids of requests begin that endpoints answer with 500
 MOST_PROGRAMS = 400
 
 
@@ -90,6 +91,9 @@
                     return
                 request_id = self.headers["Request-Id"]
                 engine.runs[request_id] += 1
+                if request_id.startswith(FAILING):
+                    self.reply(500, Request_Id=request_id)
+                    return
                 first = int(self.headers.get("Last-Event-Id", -1)) + 1
                 self.send_response(200)
                 self.send_header("Content-Type", "text/event-stream")
@@ -172,13 +176,15 @@
         self.file = folder / f"{self.name}.conf"
         self.log = folder / f"{self.name}.log"
         self.file.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
+        self.source: Path | None = None  # folder of the packages that it runs; None: those under test
+        self.module = f"eiderhub.programs.{role}"
         self.process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
         environment = os.environ | {"OTTERCLEAT_CONFIG": str(self.file)}
         with self.log.open("ab") as log:
-            command = [sys.executable, "-m", f"eiderhub.programs.{self.role}"]
-            self.process = subprocess.Popen(command, env=environment, stdout=log, stderr=log)
+            command = [sys.executable, "-m", *self.module.split()]
+            self.process = subprocess.Popen(command, env=environment, stdout=log, stderr=log, cwd=self.source)
 
     def stop(self, how: signal.Signals = signal.SIGKILL) -> int:
         assert self.process is not None
