--- a/tests/test_wire_versions.py
+++ b/tests/test_wire_versions.py
@@ -45,6 +45,16 @@
     TRAFFIC.reset()
 
 
+class Lines:
+    """A log that keeps its warnings."""
+
+    def __init__(self, lines: list[str]) -> None:
+        self._lines = lines
+
+    def warning(self, text: str, *words: object) -> None:
+        self._lines.append(text % words)
+
+
 def framed(message: Any) -> bytes:
     body = msgspec.msgpack.encode(message)
     return LENGTH.pack(len(body)) + body
@@ -136,7 +146,7 @@
 
 def test_an_unknown_message_is_logged_once_a_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     lines: list[str] = []
-    monkeypatch.setattr(framing.log, "warning", lambda text, *words: lines.append(text % words))
+    monkeypatch.setattr(framing, "log", Lines(lines))
     received(framed(FUTURE) * 5 + framed({"type": "Other"}))
     assert len(lines) == 1 and "Conversation" in lines[0]
 
@@ -182,7 +192,7 @@
     fault: str, before: int, counts: WireCounts, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     lines: list[str] = []
-    monkeypatch.setattr(framing.log, "warning", lambda text, *words: lines.append(text % words))
+    monkeypatch.setattr(framing, "log", Lines(lines))
     messages, closed = received(framed(PONG) * before + BAD[fault] + framed(PONG))
     assert (messages, closed) == ([PONG] * before, True)
     assert counts.lines() == [f'wire_frames_broken{{fault="{fault}"}} 1']
