Members change under a steady stream of writes; forms of the state in the model; a store that failed twice tells nothing

A store whose sync failed, and that could not be opened anew, told its position all the same. Change: one change at a time on top of a committed one, other writes need not rest; who has what was committed two heartbeats ago has all; a planned transfer waits for its successor; positions of the own epoch are always known. A store that failed twice raises until it could be opened anew.

--- a/eiderhub/coordination/membership.py
+++ b/eiderhub/coordination/membership.py
@@ -39,7 +39,6 @@
     silent: frozenset[str]  # members not heard of for too long
     synced: Callable[[str], bool]  # whether a replica has all that is committed
     heard: Callable[[str], bool]  # whether a replica has answered within a lease
-    reads: Callable[[str], bool]  # whether a replica's program reads the form that the group writes
 
     @property
     def leaving(self) -> frozenset[str]:
@@ -66,9 +65,8 @@
 
 
 def may_admit(view: GroupView, learner: str) -> bool:
-    """Whether a learner becomes a member: it has all that is committed, reads it, and answers."""
-    answers = view.synced(learner) and view.heard(learner)
-    return learner not in view.leaving and answers and view.reads(learner)
+    """Whether a learner becomes a member: it has all that is committed, and answers."""
+    return learner not in view.leaving and view.synced(learner) and view.heard(learner)
 
 
 def may_remove(view: GroupView, size: GroupSize) -> bool:
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -109,8 +109,11 @@
         self._lease = Lease(identity, self.timing)
         self._history = History(NOWHERE)
         self._first_version = 0  # of this primary's own epoch
+        self._group_version = 0  # of the latest change of the group; earlier epochs' are committed
+        self._committed_before = (0, 0)  # at the heartbeat before the last, and at the last
         self._led_since = 0.0
         self._transfer_until: float | None = None  # a transfer of leadership is under way until then
+        self._successor: str | None = None  # that is to take over, and does not have all yet
         self._next_heartbeat = 0.0
         self._learners: set[str] = set()
         self._given_up: dict[str, float] = {}  # when a learner last had not caught up
@@ -127,6 +130,14 @@
     def position(self) -> Position:
         return self.store.position
 
+    @property
+    def told_version(self) -> int:
+        """Of the state, for figures alone; 0 where it can't be told."""
+        try:
+            return self.position.version
+        except StoreFailed:
+            return 0
+
     @property
     def members(self) -> frozenset[str]:
         return self._members
@@ -154,12 +165,19 @@
         """Primary: whether all of its state, its members included, is committed."""
         return self.leads(now) and self.committed == self.position.version
 
+    def members_settled(self, now: float) -> bool:
+        """Primary: whether the latest change of its group is committed; writes behind it may be under way."""
+        return self.leads(now) and self.committed >= self._group_version
+
     def synced(self, identity: str) -> bool:
-        """Primary: whether that replica has all that is committed."""
+        """Primary: whether that replica has the latest change of the group, and all that was committed before
+        the last two heartbeats: under a steady stream of writes an answer is always a few of them late.
+        """
+        if identity == self.identity:
+            return True
         peer = self._peers.get(identity)
-        return identity == self.identity or (
-            peer is not None and peer.matched is not None and peer.matched.version >= self.committed
-        )
+        wanted = max(self._group_version, self._committed_before[0])
+        return peer is not None and peer.matched is not None and peer.matched.version >= wanted
 
     # --- what the driver tells ---
 
@@ -203,7 +221,8 @@
             self._step_down(now)
             raise
         self._history.add(update)
-        self._note(writes)
+        if self._note(writes):
+            self._group_version = update.position.version
         for identity, peer in self._peers.items():
             if peer.sent == previous:
                 self._send(identity, self._replicate(now, peer, previous, [update]))
@@ -217,20 +236,37 @@
             self._step_down(now)
 
     def transfer(self, now: float) -> bool:
-        """Primary: hand over to the backup that has all; false where none has."""
+        """Primary: hand over to the backup that has most, as soon as it has all; false where none answers.
+
+        From here on this replica does not lead, so that nothing more is written.
+        """
         if self.role is not Role.PRIMARY or self._transfer_until is not None:
             return False
         fit = [i for i in sorted(self._members - {self.identity} - self._leaving()) if self._is_fit(now, i)]
         if not fit:
             return False
+        most = max(self._matched_version(identity) for identity in fit)
+        self._successor = self._random.choice([i for i in fit if self._matched_version(i) == most])
         self._transfer_until = now + self.timing.transfer
-        self._send(self._random.choice(fit), TakeOver(self.epoch))
+        self._tell_successor()
         return True
 
     def _is_fit(self, now: float, identity: str) -> bool:
-        """Whether a member could lead at once."""
+        """Whether a member could lead as soon as it has what is on its way to it."""
         peer = self._peers.get(identity)
-        return peer is not None and peer.matched == self.position and now - peer.heard < self.timing.lease
+        if peer is None or peer.matched is None or peer.transfer is not None:
+            return False
+        return now - peer.heard < self.timing.lease
+
+    def _matched_version(self, identity: str) -> int:
+        peer = self._peers.get(identity)
+        return peer.matched.version if peer is not None and peer.matched is not None else 0
+
+    def _tell_successor(self) -> None:
+        """Have the replica that is to follow take over, once it has all."""
+        if self._successor is not None and self._peers[self._successor].matched == self.position:
+            self._send(self._successor, TakeOver(self.epoch))
+            self._successor = None
 
     def tick(self, now: float) -> None:
         """Let time pass; at least as often as the heartbeat."""
@@ -380,9 +416,12 @@
         """Whether the chunk begins a snapshot or follows what is staged."""
         return not chunk.after or self.store.staged == Staged(chunk.position, chunk.after)
 
-    def _note(self, writes: list[Write]) -> None:
-        if any(write.key in GROUP_KEYS for write in writes):
+    def _note(self, writes: list[Write]) -> bool:
+        """Follow what was written of the group itself; whether anything was."""
+        of_group = any(write.key in GROUP_KEYS for write in writes)
+        if of_group:
             self._read_group()
+        return of_group
 
     def _read_group(self) -> None:
         self._members = decode_identities(self.store.get(MEMBERS_KEY))
@@ -484,7 +523,8 @@
         self._peers = {i: Peer(now) for i in (self._members | self._learners) - {self.identity}}
         self._lease = Lease(self.identity, self.timing)
         self._history = History(self.position)
-        self._first_version = self.position.version + 1
+        self._first_version = self._group_version = self.position.version + 1
+        self._committed_before = (self._first_version, self._first_version)
         self._led_since = now
         self._heartbeat(now)
         # Commits what earlier epochs left behind, and opens the epoch.
@@ -494,6 +534,7 @@
         self.role = Role.BACKUP
         self.primary = None
         self._transfer_until = None
+        self._successor = None
         self._peers = {}
         self._votes = set()
         self._election_at = now + self._wait(now)
@@ -504,6 +545,7 @@
 
     def _heartbeat(self, now: float) -> None:
         self._next_heartbeat = now + self.timing.heartbeat
+        self._committed_before = (self._committed_before[1], self.committed)
         for identity, peer in self._peers.items():
             self._probe(now, identity, peer)
 
@@ -534,12 +576,18 @@
             peer.matched = message.position
             peer.transfer = None
             self._advance()
+            self._tell_successor()
         elif peer.transfer is not None:
             self._go_on(now, sender, peer, peer.transfer, message)
 
     def _knows(self, position: Position) -> bool:
-        """Whether the replica's state at this position is a state that ours has been in."""
-        return position == self.position or self._history.knows(position)
+        """Whether the replica's state at this position is a state that ours has been in.
+
+        Danger: under many writes an answer is older than the updates that are kept in memory. What was
+        written in this epoch this primary has written itself.
+        """
+        own = position.epoch == self.epoch and position.version <= self.position.version
+        return own or position == self.position or self._history.knows(position)
 
     def _catch_up(self, now: float, identity: str, peer: Peer, told: Replicated) -> None:
         """Send a replica what it lacks, from the state on that it says it has."""
@@ -592,9 +640,7 @@
         overwrite it; only what this epoch wrote on top commits it.
         """
         versions = [self.position.version] if self.identity in self._members else []
-        for identity in self._members - {self.identity}:
-            peer = self._peers.get(identity)
-            versions.append(peer.matched.version if peer and peer.matched else 0)
+        versions += [self._matched_version(identity) for identity in self._members - {self.identity}]
         versions.sort(reverse=True)
         needed = majority(len(self._members))
         reached = versions[needed - 1] if len(versions) >= needed else 0
@@ -621,12 +667,15 @@
             silent=frozenset(silent),
             synced=self.synced,
             heard=lambda identity: not self._silent(now, identity, self.timing.lease),
-            reads=lambda identity: identity == self.identity or self._reads_form(identity) >= self._form,
         )
 
     def _may_change_members(self, now: float) -> bool:
-        """Whether a change would be on top of a committed state: one change at a time."""
-        return self.settled(now)
+        """Whether the group may change: one change at a time, on top of a committed one.
+
+        Other writes need not be committed. The majorities of two groups that differ by one member share a
+        member; updates are taken in order, so whoever has the change has all before it.
+        """
+        return self.members_settled(now)
 
     def _tend_members(self, now: float) -> None:
         if not self._may_change_members(now):
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -348,7 +348,8 @@
         return [
             f"leads {self._leads():d}",
             f"epoch {replica.epoch}",
-            f"version {replica.position.version}",
+            f"version {replica.told_version}",
+            f"store_broken {self._store.broken:d}",
             f"committed {replica.committed}",
             f"form {replica.form}",
             f"generation {self.tables.configuration.generation}",
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -111,7 +111,7 @@
             node=self._node.name,
             leads=self._group.leads(),
             epoch=replica.epoch,
-            version=replica.position.version,
+            version=replica.told_version,
             generation=self._tables.configuration.generation,
             primary=replica.primary or "",
             members=sorted(replica.members),
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -27,7 +27,6 @@
 from eiderhub.control.freshness import FRESH_S
 from eiderhub.control.messages import LeaseRequest, NodeRecord, SessionPing, StorageReport
 from eiderhub.coordination.roster import address_of
-from eiderhub.coordination.store import NOWHERE
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.batch_calls import BatchCall, BatchCalls
@@ -116,9 +115,9 @@
         return self._session.send(request)
 
     def _describe(self, ping: SessionPing) -> SessionPing:
-        if not self.group.settled():
-            return ping
         replica = self.group.replica
+        if not replica.members_settled(self._now()):
+            return ping
         members = sorted(replica.members)
         synced = all(replica.synced(member) for member in members)
         return msgspec.structs.replace(ping, group=StorageReport(members, sorted(replica.barred), synced))
@@ -136,7 +135,7 @@
             if node.role == "storage" and node.identity:
                 self.group.know(address_of(node.identity))
         founded = nodes.storage_group
-        if self._node.identity in founded and self._store.position == NOWHERE:
+        if self._node.identity in founded and self._store.is_empty:
             self.group.replica.bootstrap(founded)
         orders = nodes.retirements
         self.group.roster.retired = frozenset(i for order in orders for i in order.identities)
@@ -313,7 +312,8 @@
         lines = [
             f"leads {self.group.leads():d}",
             f"epoch {replica.epoch}",
-            f"version {replica.position.version}",
+            f"version {replica.told_version}",
+            f"store_broken {self._store.broken:d}",
             f"committed {replica.committed}",
             f"form {replica.form}",
             f"store_used_bytes {self._store.used_bytes}",
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -24,6 +25,7 @@
 LEAST_MAP_BYTES = 8 << 20
 UNLIMITED_BYTES = 1 << 40
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
+TRY_AGAIN_S = 1.0  # a store that could not be opened anew is tried so often
 ACTIVE_KEY, STAGED_KEY = b"active", b"staged"
 TABLES = (b"data", b"data-b")  # one holds the state, the other a snapshot that is on its way
 
@@ -53,6 +55,8 @@
         """
         path = self._path = folder / FILE_NAME
         self._reads_form = reads_form
+        self._failure: str | None = None  # why the state can't be told
+        self._next_try = 0.0  # when the environment is opened anew
         self.created = not path.exists()
         if self.created and read_only:
             raise StoreUnusable(f"{path}: there is no store")
@@ -151,9 +155,21 @@
         """What the store may grow to."""
         return self._map_bytes
 
+    @property
+    def broken(self) -> bool:
+        """Whether the state can't be told, since the disk has failed twice and was not opened anew since."""
+        return self._failure is not None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether it holds no state for certain."""
+        return not self.broken and self._position == NOWHERE
+
     @property
     def used_bytes(self) -> int:
-        """What the state takes: whole pages, without those that are free again."""
+        """What the state takes: whole pages, without those that are free again; 0 while it can't be told."""
+        if self.broken:
+            return 0
         with self._environment.begin() as transaction:
             state = transaction.stat(self._data)
         pages = state["branch_pages"] + state["leaf_pages"] + state["overflow_pages"]
@@ -175,10 +191,22 @@
 
     @property
     def position(self) -> Position:
+        """How far the state has come.
+
+        Raises:
+            StoreFailed: it is not known what is durable.
+        """
+        self._require()
         return self._position
 
     @property
     def staged(self) -> Staged | None:
+        """How much of a snapshot has arrived.
+
+        Raises:
+            StoreFailed: it is not known what is durable.
+        """
+        self._require()
         return self._staged
 
     def grant(self, epoch: int) -> None:
@@ -227,17 +255,37 @@
         Raises:
             StoreFailed: nothing has changed.
         """
+        self._require()
         try:
             with self._environment.begin(write=True) as transaction:
                 yield transaction
             self._environment.sync(True)
         except (lmdb.Error, OSError) as error:
-            try:
-                self._reopen()
-            except (lmdb.Error, OSError) as again:
-                raise StoreFailed(f"{error}; {again}") from again
+            self._failure = str(error)
+            self._try_again()
             raise StoreFailed(str(error)) from error
 
+    def _require(self) -> None:
+        """See to it that what is told is durable.
+
+        Raises:
+            StoreFailed: it is not, and opening the environment anew has failed too, now or a moment ago.
+        """
+        if self._failure is not None and time.monotonic() >= self._next_try:
+            self._try_again()
+        if self._failure is not None:
+            raise StoreFailed(self._failure)
+
+    def _try_again(self) -> None:
+        """Open the environment anew; where that fails nothing is told until it is tried again."""
+        try:
+            self._reopen()
+        except (lmdb.Error, OSError, msgspec.DecodeError) as error:
+            self._failure = str(error)
+            self._next_try = time.monotonic() + TRY_AGAIN_S
+        else:
+            self._failure = None
+
     @staticmethod
     def _put(transaction: lmdb.Transaction, table: lmdb._Database, writes: Iterable[Write]) -> None:
         for write in writes:
@@ -293,6 +341,7 @@
         self.data: dict[str, bytes] = {}
         self._staged: tuple[Staged, dict[str, bytes]] | None = None
         self.limit_bytes = UNLIMITED_BYTES
+        self.broken = False
 
     @property
     def used_bytes(self) -> int:
--- a/tests/model/members.py
+++ b/tests/model/members.py
@@ -22,6 +22,7 @@
     SessionPong,
 )
 from eiderhub.control.publication import Publication
+from eiderhub.coordination.forms import StateForms
 from eiderhub.coordination.messages import REPLICA_MESSAGES
 from eiderhub.coordination.replication import Replica, Role
 from eiderhub.coordination.roster import Roster, address_of
@@ -49,6 +50,7 @@
         self.removed = False
         self.frozen = False
         self.lives = 0
+        self.forms = world.installed  # what the program that runs there reads and writes
         self._buffered: list[Callable[[], None]] = []
         rng = world.rng
         self.clock = Clock(rng.uniform(10.0, 100.0), 1.0 + rng.uniform(-0.01, 0.01))
@@ -126,6 +128,7 @@
     rng: random.Random
     size: GroupSize
     timing: Timing
+    installed: StateForms
     machines: dict[str, Machine]
 
     def make_disk(self) -> Disk: ...
@@ -149,7 +152,13 @@
         self.node = NodeRecord(machine.name, "control", machine.zone, machine.identity)
         rng = random.Random(self.world.rng.random())
         self.replica = Replica(
-            machine.identity, machine.disk, machine.now, rng, self.world.size, self.world.timing
+            machine.identity,
+            machine.disk,
+            machine.now,
+            rng,
+            self.world.size,
+            self.world.timing,
+            machine.forms,
         )
         self.roster = Roster(machine.identity, machine.zone)
         self.desk: Desk[Any] = Desk(self.replica, machine.disk)
--- a/tests/model/network.py
+++ b/tests/model/network.py
@@ -42,6 +42,7 @@
         self.rng = rng
         self._mean_delay_s = rng.choice(MEAN_DELAYS_S)
         self._cut: set[tuple[str, str]] = set()  # from, to
+        self._slower_s: dict[str, float] = {}  # by address: added to each way
 
     def cut(self, sources: set[str], targets: set[str], one_way: bool = False) -> None:
         for source in sources:
@@ -56,8 +57,13 @@
     def passes(self, source: str, target: str) -> bool:
         return (source, target) not in self._cut
 
-    def delay(self) -> float:
-        return LEAST_DELAY_S + self.rng.expovariate(1.0 / self._mean_delay_s)
+    def slow_down(self, address: str, added_s: float) -> None:
+        """All that goes to or from there takes so much longer."""
+        self._slower_s[address] = added_s
+
+    def delay(self, source: str = "", target: str = "") -> float:
+        added = self._slower_s.get(source, 0.0) + self._slower_s.get(target, 0.0)
+        return LEAST_DELAY_S + added + self.rng.expovariate(1.0 / self._mean_delay_s)
 
 
 class Link:
@@ -128,7 +134,9 @@
 
     def _carry(self, message: Any) -> None:
         timeline = self._network.timeline
-        self._arrives = max(self._arrives, timeline.now + self._network.delay())
+        self._arrives = max(
+            self._arrives, timeline.now + self._network.delay(self._source.address, self._target.address)
+        )
         timeline.at(self._arrives, lambda: self._target.deliver(lambda: self._receive(message)))
 
     @property
--- a/tests/model/traces.py
+++ b/tests/model/traces.py
@@ -112,7 +112,7 @@
 def _view(**changed: Any) -> GroupView:
     made = GroupView(
         "a@1", frozenset([*MEMBERS, "d@4"]), frozenset(), frozenset(), frozenset(), frozenset({"d@4"}),
-        lambda identity: True, lambda identity: True, lambda identity: True,
+        lambda identity: True, lambda identity: True,
     )  # fmt: skip
     return made._replace(**changed)
 
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -11,6 +11,7 @@
 from eiderhub.control.desk import Answer
 from eiderhub.control.messages import NodeRecord, StorageReport
 from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.forms import FORM_KEY, OWN_FORMS, decode_form
 from eiderhub.coordination.messages import Position
 from eiderhub.coordination.replication import Role
 from eiderhub.coordination.timing import GroupSize, Timing
@@ -52,6 +53,7 @@
         self.network = Network(self.timeline, self.rng)
         self.size = shape.size
         self.timing = Timing()
+        self.installed = OWN_FORMS  # of the program that new machines come with
         self.make_disk = disk
         self.history = History()
         self.trace: list[str] = []
@@ -143,11 +145,19 @@
             process = machine.process
             if process is None:
                 continue
+            self._check_form(process)
             position, data = process.replica.position, machine.disk.data
             other = self._states.setdefault(position, dict(data))
             if other != data:
                 raise Broken(f"{process.identity} differs from another replica at {position}")
 
+    @staticmethod
+    def _check_form(process: Process) -> None:
+        """Nobody's disk holds a state in a form that the program there does not read."""
+        form = decode_form(process.machine.disk.data.get(FORM_KEY))
+        if form > process.machine.forms.reads:
+            raise Broken(f"{process.identity} has records of form {form}, which its program does not read")
+
     def settled(self) -> bool:
         """Whether one replica leads, its group is as large as it should be, and all have its state."""
         leaders = self.leaders()
@@ -173,7 +183,7 @@
             process.roster.retired_names = names
             process.roster.retired = frozenset(i for o in self.retiring.values() for i in o.identities)
             replica = process.replica
-            if not process.machine.frozen and replica.settled(process.machine.now):
+            if not process.machine.frozen and replica.members_settled(process.machine.now):
                 members = sorted(replica.members)
                 synced = all(replica.synced(member) for member in members)
                 report = StorageReport(members, sorted(replica.barred), synced)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,16 +2,27 @@
 
 from __future__ import annotations
 
+import random
 import subprocess
 import sys
 import textwrap
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from eiderhub.coordination.messages import Position, Staged, Update, Write
-from eiderhub.coordination.store import NOWHERE
-from eiderhub.storage.store import LmdbStore, StoreUnusable
+from eiderhub.coordination.messages import (
+    Position,
+    Replicate,
+    Replicated,
+    RequestEpoch,
+    Staged,
+    Update,
+    Write,
+)
+from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.store import NOWHERE, StoreFailed
+from eiderhub.storage.store import TRY_AGAIN_S, LmdbStore, StoreUnusable
 
 DISK_MB = 16.0
 
@@ -68,6 +79,52 @@
         LmdbStore(tmp_path, DISK_MB, "id@h:1")
 
 
+class BrokenDisk:
+    """An environment that writes and cannot sync."""
+
+    def __init__(self, environment: Any) -> None:
+        self._environment = environment
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._environment, name)
+
+    def sync(self, force: bool) -> None:
+        raise OSError("the disk does not answer")
+
+
+def test_a_store_that_fails_twice_tells_no_position_until_it_could_be_opened_anew(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = [100.0]
+    monkeypatch.setattr("eiderhub.storage.store.time.monotonic", lambda: clock[0])
+    store = LmdbStore(tmp_path, DISK_MB, "id@h:1")
+    store.apply([update(1, Write("a", b"1"))])
+    replica = Replica("id@h:1", store, 0.0, random.Random(1))
+    monkeypatch.setattr(store, "_environment", BrokenDisk(store._environment))
+    opened = store._open
+
+    def fails() -> None:
+        raise OSError("no such device")
+
+    monkeypatch.setattr(store, "_open", fails)
+    with pytest.raises(StoreFailed, match="the disk does not answer"):
+        store.apply([update(2, Write("a", b"2"))])
+    assert store.broken and not store.is_empty and (store.used_bytes, replica.told_version) == (0, 0)
+    replica.receive(1.0, "p@h:2", Replicate(1, Position(1, 2), [], 2, 1.0))
+    replica.receive(1.0, "p@h:2", RequestEpoch(7, Position(1, 9), False))
+    assert replica.outbox == []  # what it has is not known: it neither acknowledges nor votes
+    for call in (lambda: store.position, lambda: store.staged, lambda: store.grant(9)):
+        with pytest.raises(StoreFailed, match="no such device"):
+            call()
+    monkeypatch.setattr(store, "_open", opened)
+    with pytest.raises(StoreFailed):
+        store.grant(9)  # not tried again at once
+    clock[0] += TRY_AGAIN_S
+    assert store.position in (Position(1, 1), Position(1, 2)) and not store.broken
+    replica.receive(2.0, "p@h:2", Replicate(1, store.position, [], 1, 2.0))
+    assert [type(each.message) for each in replica.outbox] == [Replicated]
+
+
 FULL_DISK = """
     import resource, signal, sys
     from pathlib import Path
