Hold requests that come before the first configuration; credit what was charged and refused

Tokens charged for a call or a job that was then refused stayed spent; a call that costs nothing failed with KeyError and broke its connection, a client that left while its work was paid for was sent all the same (both found by the new tests). Change: such requests are held for a third of their time, 1 s at most, bounded in number and bytes, until routes and endpoints are known, then decided on; past that they are refused at once. Credit once for what never ran; what is lost with a process counts as spent. Negative token counts are taken as zero.

--- a/eiderhub/control/spending.py
+++ b/eiderhub/control/spending.py
@@ -109,9 +109,10 @@
 
     def charge(self, name: str, tokens: int) -> bool:
         """Pay for work; false where the leases do not cover it."""
-        if name in self._exhausted or self._tokens.get(name, 0) < tokens:
+        left = self._tokens.get(name, 0)
+        if name in self._exhausted or left < tokens:
             return False
-        self._tokens[name] -= tokens
+        self._tokens[name] = left - tokens
         return True
 
     def unspent(self) -> dict[str, int]:
--- a/eiderhub/dataplane/frontend.py
+++ b/eiderhub/dataplane/frontend.py
@@ -30,12 +30,13 @@
 class ClientExchange(Exchange):
     """A client's request; implements admission's `Sink`."""
 
-    __slots__ = ("begun", "client")
+    __slots__ = ("begun", "client", "held_s")
 
     def __init__(self, connection: FrontendConnection, first: bool, first_us: int, client: str) -> None:
         super().__init__(connection, first, first_us)
         self.client = client
         self.begun = False
+        self.held_s = 0.0  # before anything could be decided on it
 
     def begin(self, headers: Headers) -> None:
         self.begun = True
@@ -101,6 +102,21 @@
         self._exchange.refuse(kind, retry_after_us)
 
 
+class PaidSink(ClientSink):
+    """The sink of a call that was paid for: `refund` is called once if the call is refused and never runs."""
+
+    __slots__ = ("_refund",)
+
+    def __init__(self, exchange: ClientExchange, refund: Callable[[], None]) -> None:
+        super().__init__(exchange)
+        self._refund = refund
+
+    def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
+        if kind is ErrorKind.NOT_READY:
+            self._refund()
+        super().refuse(kind, retry_after_us)
+
+
 class Server(Protocol):
     """What serves a client's requests."""
 
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -477,6 +477,6 @@
     """Tokens of the prompt and the most out; zeros where the header tells nothing."""
     prompt, _, out = text.partition(",")
     try:
-        return int(prompt), int(out)
+        return max(0, int(prompt)), max(0, int(out))
     except ValueError:
         return 0, 0
--- a/eiderhub/programs/batch_calls.py
+++ b/eiderhub/programs/batch_calls.py
@@ -107,8 +107,11 @@
         if not self._has_space(len(message.body)):
             self._jobs.forget(message.job)
             return self._refused(message.call, Refusal(ErrorKind.NO_ROOM, "the store is nearly full"))
-        refused = await self._pay(message)
+        tokens = self._jobs.tokens(message.job)
+        refused = await self._pay(message.route, tokens)
         if self._epoch != epoch:
+            if refused is None:
+                self._refund(message.route, tokens)
             raise NotPrimary  # the table has been loaded anew: the job is not there, or another call's
         if refused is not None:
             self._jobs.forget(message.job)
@@ -116,6 +119,7 @@
         try:
             await self._group.write(made)
         except NotPrimary:
+            self._refund(message.route, tokens)
             if self._epoch == epoch:
                 self._jobs.forget(message.job)
             raise
@@ -129,12 +133,18 @@
         await self._group.settle()
         return Answer(message.call, 202)
 
-    async def _pay(self, message: Submit) -> Refusal | None:
+    def _refund(self, route: str, tokens: int) -> None:
+        """A job that was paid for was not written, and will be paid for again if it is sent again."""
+        tenant = self._spending.tenant_of(route)
+        if tenant is not None:
+            self._spending.refund(tenant, tokens)
+
+    async def _pay(self, route: str, tokens: int) -> Refusal | None:
         """Charge a new job to its tenant; what is paid for runs, whatever becomes of the cap."""
-        tenant = self._spending.tenant_of(message.route)
+        tenant = self._spending.tenant_of(route)
         if tenant is None:
             return None
-        charge = await self._spending.charge(tenant, self._jobs.tokens(message.job))
+        charge = await self._spending.charge(tenant, tokens)
         if charge is Charge.PAID:
             return None
         kind = ErrorKind.NO_ROOM if charge is Charge.EXHAUSTED else ErrorKind.NOT_READY
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import random
 import time
@@ -21,7 +22,8 @@
 from eiderhub.coordination.wire import WIRE_VERSION
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.drain import Drain
-from eiderhub.dataplane.frontend import ClientExchange, ClientSink, request_head
+from eiderhub.dataplane.early import EarlyRequests
+from eiderhub.dataplane.frontend import ClientExchange, ClientSink, PaidSink, request_head
 from eiderhub.dataplane.items import CALL_S, ItemRunner, token_usage
 from eiderhub.dataplane.routes import Route, RouteTable
 from eiderhub.http1 import Exchange
@@ -39,6 +41,8 @@
 STOPPING_US = 50_000  # a client that is refused since the sidecar stops may try another at once
 EXHAUSTED_US = 60_000_000  # a cap that has run out is not raised sooner, as a rule
 STARTING_US = 600_000  # a sidecar that has just started has a configuration by then, as a rule
+UNTOLD_TIMEOUT_MS = 2_000.0  # what a client is taken to allow that does not say, while no route is known
+EARLY_LOOK_S = 0.02  # how often it is looked for held requests that are past their bound
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 log = logging.getLogger("edge")
@@ -55,8 +59,9 @@
         self._admissions: dict[str, Admission] = {}
         self._serial = itertools.count(1)
         self._drain: Drain | None = None  # once it has been told to stop
-        self.open_requests = 0
         self.last_request = 0.0
+        self._early: EarlyRequests[ClientExchange] = EarlyRequests()
+        self._early_look: asyncio.TimerHandle | None = None
         self._spending = Spending(self._ask_for_lease)
         self._session = ControlSession(
             self._node,
@@ -118,7 +123,12 @@
         if routes is not self._routes:
             self._routes = routes
             self._runner.routes_changed(routes.generation)
-        sidecars = self.tables.nodes.sidecars
+        self._follow_fleet(self.tables.nodes.sidecars)
+        if self._early and self._knows_enough():
+            self._release_early()
+
+    def _follow_fleet(self, sidecars: int) -> None:
+        """There are so many sidecars; 0: it is not known."""
         if sidecars:
             rank = zlib.crc32(self._settings.node_name.encode()) % sidecars
             for admission in self._admissions.values():
@@ -149,8 +159,7 @@
             admission.follow_routes(leading, service.capacity)
 
     def ready(self) -> bool:
-        known = self.tables.endpoints.version.epoch > 0
-        return not self.draining and self._routes is not None and known
+        return not self.draining and self._knows_enough()
 
     def route_for(self, name: str) -> tuple[Route, Admission] | None:
         route = self._routes.by_name.get(name) if self._routes else None
@@ -190,9 +199,53 @@
 
     def serve(self, exchange: ClientExchange) -> None:
         self.last_request = self.now()
-        if self._routes is None:
+        if self._knows_enough():
+            self._decide(exchange)
+        elif self.draining:
+            exchange.refuse(ErrorKind.NOT_READY, STOPPING_US)
+        else:
+            self._hold(exchange)
+
+    def _knows_enough(self) -> bool:
+        """Whether routes and endpoints are known, so that a request can be decided on."""
+        return self._routes is not None and self.tables.endpoints.version.epoch > 0
+
+    def _hold(self, exchange: ClientExchange) -> None:
+        """Keep a request that has come before the first configuration, for a bounded time."""
+        allowed_s = _number(exchange.headers.get(b"timeout-ms"), UNTOLD_TIMEOUT_MS) / 1000
+        if not self._early.hold(self.now(), exchange, len(exchange.body), allowed_s):
             exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
             return
+
+        def gone(_: Exchange) -> None:
+            self._early.remove(exchange)
+
+        exchange.on_gone = gone
+        if len(self._early) == 1:
+            self._look_at_early()
+
+    def _look_at_early(self) -> None:
+        """Refuse the held requests that are past their bound, now and for as long as any is held."""
+        for exchange in self._early.overdue(self.now()):
+            exchange.on_gone = None
+            exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
+        if self._early and self._early_look is None:
+            self._early_look = asyncio.get_running_loop().call_later(EARLY_LOOK_S, self._next_early_look)
+
+    def _next_early_look(self) -> None:
+        self._early_look = None
+        self._look_at_early()
+
+    def _release_early(self) -> None:
+        """Decide on the requests that have waited for a configuration."""
+        now = self.now()
+        for held in self._early.release():
+            held.request.on_gone = None
+            held.request.held_s = now - held.since
+            self._decide(held.request)
+
+    def _decide(self, exchange: ClientExchange) -> None:
+        assert self._routes is not None
         target = exchange.url.decode("latin-1")
         host = exchange.headers.get(b"host", b"").decode("latin-1")
         path = target.partition("?")[0]
@@ -211,23 +264,28 @@
         elif (tenant := self._spending.tenant_of(route.name)) is not None:
             self._tasks.start(self._pay_and_pass_on(exchange, route, tenant), exchange.break_off)
         else:
-            self._pass_on(exchange, route)
+            self._pass_on(exchange, route, ClientSink(exchange))
 
     async def _pay_and_pass_on(self, exchange: ClientExchange, route: Route, tenant: str) -> None:
         """Take a request of a tenant that has a spending cap."""
         tokens = sum(token_usage(exchange.headers.get(b"token-usage", b"").decode("latin-1")))
+        began = self.now()
         charge = await self._spending.charge(tenant, tokens)
-        if charge is Charge.PAID:
-            self._pass_on(exchange, route)
+        exchange.held_s += self.now() - began
+        if exchange.gone:  # its client has left meanwhile
+            if charge is Charge.PAID:
+                self._spending.refund(tenant, tokens)
+        elif charge is Charge.PAID:
+            self._pass_on(exchange, route, PaidSink(exchange, partial(self._spending.refund, tenant, tokens)))
         elif charge is Charge.EXHAUSTED:
             exchange.refuse(ErrorKind.NO_ROOM, EXHAUSTED_US)
         else:
             exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
 
-    def _pass_on(self, exchange: ClientExchange, route: Route) -> None:
+    def _pass_on(self, exchange: ClientExchange, route: Route, sink: ClientSink) -> None:
         found = self.route_for(route.name)
         if found is None:
-            exchange.refuse(ErrorKind.NOT_READY, STARTING_US)
+            sink.refuse(ErrorKind.NOT_READY, STARTING_US)
             return
         route, admission = (
             found  # of the newest configuration: it may have changed while the call was paid for
@@ -239,7 +297,7 @@
         usage = token_usage(headers.get(b"token-usage", b"").decode("latin-1"))
         call = Call(
             f"{next(self._serial)}", route, request_id, (head, exchange.body), due_us,
-            exchange.client, usage, ClientSink(exchange),
+            exchange.client, usage, sink,
         )  # fmt: skip
         last = headers.get(b"last-event-id", b"")
         if last.isdigit():
@@ -285,6 +343,11 @@
     def metrics(self) -> list[str]:
         """The figures of this sidecar, one a line."""
         lines = [f"ready {self.ready():d}", f"draining {self.draining:d}"]
+        lines += [
+            f"early_held {len(self._early)}",
+            f"early_held_total {self._early.total}",
+            f"early_refused_total {self._early.refused}",
+        ]
         lines += [f"generation {self.tables.configuration.generation}"]
         for name, admission in self._admissions.items():
             lines += [f'{figure}{{service="{name}"}} {value}' for figure, value in admission.figures()]
@@ -298,6 +361,7 @@
         return (
             len(self._tasks) == 0
             and self._runner.unstored == 0
+            and not self._early
             and not any(a.busy for a in self._admissions.values())
         )
 
@@ -309,6 +373,9 @@
     def drain(self, grace_s: float) -> Drain:
         """Stop: take only what can be ended in time, and give items back."""
         self._drain = Drain(self.now(), grace_s)
+        for held in self._early.release():
+            held.request.on_gone = None
+            held.request.refuse(ErrorKind.NOT_READY, STOPPING_US)
         self._spending.give_back()
         self._runner.return_all()
         return self._drain
@@ -317,7 +384,7 @@
 def time_left_s(exchange: ClientExchange, route: Route) -> float:
     """How long a request may take: the route's time-out, or what its client allows if that is less."""
     told_ms = _number(exchange.headers.get(b"timeout-ms"), route.timeout_ms)
-    return min(told_ms, route.timeout_ms) / 1000
+    return min(told_ms, route.timeout_ms) / 1000 - exchange.held_s
 
 
 def _number(text: bytes | None, default: float) -> float:
--- a/eiderhub/transport/spending.py
+++ b/eiderhub/transport/spending.py
@@ -50,8 +50,15 @@
         return Charge.PAID
 
     def refund(self, tenant: str, tokens: int) -> None:
-        """The work was refused and never ran."""
-        self._purse.add(tenant, tokens)
+        """The work was refused and never ran; told once for a charge that was paid.
+
+        A tenant whose cap has run out is charged nothing more here: its tokens go back to the cap. What is
+        lost on that way, or with this process, counts as spent.
+        """
+        if self._purse.stopped(tenant):
+            self._send(LeaseRequest("", tenant, -tokens))
+        else:
+            self._purse.add(tenant, tokens)
 
     async def _lease(self, tenant: str, tokens: int) -> LeaseAnswer | None:
         future = self._asking.get(tenant)
--- a/tests/test_spending.py
+++ b/tests/test_spending.py
@@ -4,10 +4,21 @@
 
 import asyncio
 import random
+from typing import cast
 
+import pytest
+
+from eiderhub.batch.jobs import BatchTerms, JobTable
+from eiderhub.batch.messages import Submit
+from eiderhub.control.errors import ErrorKind
 from eiderhub.control.messages import LeaseAnswer, LeaseRequest
 from eiderhub.control.spending import LEAST_LEASE, LeasePurse, SpendingLedger, Tenant, tenants_of
 from eiderhub.coordination.messages import Write
+from eiderhub.dataplane.frontend import ClientExchange, PaidSink
+from eiderhub.dataplane.items import token_usage
+from eiderhub.programs.batch_calls import BatchCalls
+from eiderhub.storage.store import MemoryStore
+from eiderhub.transport.group import CommitUnknown, GroupDriver, NotPrimary
 from eiderhub.transport.spending import Charge, Spending
 
 CAP = 100_000
@@ -82,6 +93,17 @@
     assert purse.unspent() == {"t": 60}
 
 
+def test_work_that_costs_nothing_is_paid_without_a_lease() -> None:
+    purse = LeasePurse()
+    assert purse.charge("t", 0)
+    assert not purse.charge("t", 1)
+
+
+@pytest.mark.parametrize("told", ["", "5", "x,y", "-500,-500", "1,-3"])
+def test_what_a_client_says_of_its_tokens_never_adds_to_a_lease(told: str) -> None:
+    assert min(token_usage(told)) >= 0
+
+
 def test_tenants_without_a_cap_are_not_bounded() -> None:
     document = {"tenants": [{"name": "a", "routes": ["r"]}, {"name": "b", "spending_cap_tokens": 5}]}
     assert list(tenants_of(document)) == ["b"]
@@ -127,3 +149,82 @@
         assert control.spending.tenant_of("other") is None
 
     asyncio.run(test())
+
+
+def test_a_refund_pays_for_other_work_and_goes_back_to_the_cap_once_that_has_run_out() -> None:
+    async def test() -> None:
+        control = Control()
+        control.spending.answered(LeaseAnswer("", "t", 100, False))
+        assert await control.spending.charge("t", 100) is Charge.PAID
+        control.spending.refund("t", 60)
+        assert await control.spending.charge("t", 60) is Charge.PAID  # without another lease
+        assert control.requests == []
+        control.spending.follow({"t": Tenant("t", CAP, frozenset({"r"}))}, ["t"])
+        control.spending.refund("t", 60)
+        assert control.requests == [LeaseRequest("", "t", -60)]
+        control.spending.give_back()  # the process stops: nothing goes back twice
+        assert control.requests == [LeaseRequest("", "t", -60)]
+
+    asyncio.run(test())
+
+
+class Exchange:
+    """A client's, that keeps how it was refused."""
+
+    def __init__(self) -> None:
+        self.refused: list[ErrorKind] = []
+
+    def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
+        self.refused.append(kind)
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_only_a_call_that_never_runs_is_credited(kind: ErrorKind) -> None:
+    exchange = Exchange()
+    credits: list[int] = []
+    sink = PaidSink(cast(ClientExchange, exchange), lambda: credits.append(1))
+    sink.refuse(kind, 0)
+    assert exchange.refused == [kind]
+    assert credits == ([1] if kind is ErrorKind.NOT_READY else [])
+
+
+class Group:
+    """A storage group's driver whose write ends in one way."""
+
+    def __init__(self, ends: Exception | None) -> None:
+        self._ends = ends
+
+    def leads(self) -> bool:
+        return True
+
+    async def write(self, writes: object) -> None:
+        if self._ends is not None:
+            raise self._ends
+
+
+JOB = b'{"requests":[{"id":"i","path":"/p","tokens":30,"body":""}]}'
+
+
+@pytest.mark.parametrize(
+    ("ends", "credited"),
+    [(None, 0), (NotPrimary(), 30), (CommitUnknown(), 0)],
+    ids=["taken", "not", "unknown"],
+)
+def test_a_job_that_was_paid_for_and_not_written_is_credited_once(
+    ends: Exception | None, credited: int
+) -> None:
+    async def test() -> None:
+        control = Control()
+        control.spending.answered(LeaseAnswer("", "t", 30, False))
+        jobs = JobTable(MemoryStore())
+        calls = BatchCalls(
+            jobs, cast(GroupDriver, Group(ends)), control.spending, lambda name: BatchTerms(name, 1, 1, 1, 0),
+            lambda size: True, lambda: None, lambda job: None,
+        )  # fmt: skip
+        await calls.answer(Submit(1, "job", "r", JOB))
+        paid = asyncio.ensure_future(control.spending.charge("t", 30))
+        await asyncio.sleep(0)
+        assert paid.done() == (credited == 30)
+        paid.cancel()
+
+    asyncio.run(test())
