Teach a backup what has changed since, over restarts; a soak that upgrades and puts back

Cause: after a loss of all power a backup that was one update behind was sent the whole state, since the primary's recent updates were in memory alone. The soak can run processes of wire version 1, or of an older revision, and upgrade and put back one after the other under load.

--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -594,6 +594,8 @@
         peer.caught_up_at = now
         peer.transfer = None
         rest = [] if told.position == self.position else self._history.since(told.position)
+        if rest is None:
+            rest = self._changes_since(told.position)
         if rest is None:
             self._begin_snapshot(now, identity, peer, told.staged)
             return
@@ -603,6 +605,11 @@
             self._send(identity, self._replicate(now, peer, told.position, rest))
         self._advance()
 
+    def _changes_since(self, position: Position) -> list[Update] | None:
+        """One update that leads from a state of an earlier epoch to the present one; None: not known."""
+        writes = self.store.changed_since(position)
+        return None if writes is None else [Update(self.position, writes)]
+
     def _begin_snapshot(self, now: float, identity: str, peer: Peer, staged: Staged | None) -> None:
         """Begin a snapshot, or go on with what the replica has of one."""
         missed = self._history.since(staged.position) if staged is not None else None
--- a/eiderhub/coordination/store.py
+++ b/eiderhub/coordination/store.py
@@ -50,6 +50,12 @@
     def chunk(self, after: str, most_bytes: int) -> Chunk:
         """The entries behind a key, as many as fit; at least one where there is any."""
 
+    def changed_since(self, position: Position) -> list[Write] | None:
+        """The present values of all that has changed since the state was at that position.
+
+        None: it is not known, or more than is worth sending in place of a snapshot.
+        """
+
     def stage(self, entries: Iterable[Write], staged: Staged, first: bool) -> None:
         """Keep a chunk of a snapshot; the first one replaces any other snapshot."""
 
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -15,6 +15,7 @@
 import lmdb
 import msgspec
 
+from eiderhub.coordination import tail
 from eiderhub.coordination.forms import FORM_KEY, OWN_FORMS, decode_form
 from eiderhub.coordination.messages import Position, Staged, Update, Write
 from eiderhub.coordination.store import NOWHERE, Chunk, StoreFailed
@@ -30,6 +31,15 @@
 TABLES = (b"data", b"data-b")  # one holds the state, the other a snapshot that is on its way
 
 
+def _tail_slot(slot: int) -> bytes:
+    return b"tail/%d" % slot
+
+
+def _tail_key(position: Position) -> bytes:
+    """Where the step to a position is kept, in the place of an older one."""
+    return _tail_slot(position.version % tail.KEPT_UPDATES)
+
+
 class StoreUnusable(Exception):
     """The environment can't be opened, or another program version wrote it."""
 
@@ -217,12 +227,27 @@
 
     def apply(self, updates: list[Update]) -> None:
         position = updates[-1].position
+        step = tail.step(self.position, updates)
         with self._transaction() as transaction:
             for update in updates:
                 self._put(transaction, self._data, update.writes)
+            if step is not None:
+                transaction.put(_tail_key(position), msgspec.msgpack.encode(step), db=self._meta)
             transaction.put(POSITION_KEY, msgspec.json.encode(position), db=self._meta)
         self._position = position
 
+    def changed_since(self, position: Position) -> list[Write] | None:
+        with self._environment.begin() as transaction:
+            kept = (transaction.get(_tail_slot(slot), db=self._meta) for slot in range(tail.KEPT_UPDATES))
+            steps = [msgspec.msgpack.decode(value, type=tail.ChangedKeys) for value in kept if value]
+            keys = tail.changed_since(steps, position, self.position)
+            if keys is None:
+                return None
+            values = [(key, transaction.get(key.encode(), db=self._data)) for key in keys]
+        writes = [Write(key, None if value is None else bytes(value)) for key, value in values]
+        size = sum(len(write.key) + len(write.value or b"") for write in writes)
+        return writes if size <= tail.MOST_BYTES else None
+
     def stage(self, entries: Iterable[Write], staged: Staged, first: bool) -> None:
         with self._transaction() as transaction:
             if first:
@@ -340,6 +365,7 @@
         self.position = NOWHERE
         self.data: dict[str, bytes] = {}
         self._staged: tuple[Staged, dict[str, bytes]] | None = None
+        self._tail: dict[int, tail.ChangedKeys] = {}
         self.limit_bytes = UNLIMITED_BYTES
         self.broken = False
 
@@ -352,10 +378,17 @@
         self.epoch = max(self.epoch, epoch)
 
     def apply(self, updates: list[Update]) -> None:
+        step = tail.step(self.position, updates)
+        if step is not None:
+            self._tail[step.position.version % tail.KEPT_UPDATES] = step
         for update in updates:
             self._put(self.data, update.writes)
             self.position = update.position
 
+    def changed_since(self, position: Position) -> list[Write] | None:
+        keys = tail.changed_since(self._tail.values(), position, self.position)
+        return None if keys is None else [Write(key, self.data.get(key)) for key in keys]
+
     @property
     def staged(self) -> Staged | None:
         return self._staged[0] if self._staged else None
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,8 @@
 
 import defopt
 
-from tests.soak.run import Shape, Soak
+from tests.golden.record import source_of
+from tests.soak.run import WIRE_1, Shape, Soak
 
 
 def play(seed: int, shape: Shape, keep: str) -> str:
@@ -40,7 +41,7 @@
 
 def main(
     *, first: int = 0, count: int = 10, jobs: int = 2, edges: int = 4, storage: int = 4,
-    seconds: float = 14.0, finish: float = 10.0, keep: str = "",
+    seconds: float = 14.0, finish: float = 10.0, keep: str = "", older: str = "",
 ) -> None:  # fmt: skip
     """Play seeds one after the other, some at once.
 
@@ -51,9 +52,12 @@
     :param storage: storage nodes of each
     :param seconds: how long troubles and traffic last
     :param finish: seconds for everything to come to its end after that
+    :param older: a revision, or "wire-1": processes are upgraded from it and put back all the time
     :param keep: folder for the logs; a temporary one if it is not given
     """
-    shape = Shape(edges=edges, storage=storage, seconds=seconds, finish_s=finish)
+    if older not in ("", WIRE_1):
+        older = str(source_of(older, Path(tempfile.mkdtemp(prefix="soak-older-"), "source")))
+    shape = Shape(edges=edges, storage=storage, seconds=seconds, finish_s=finish, older=older)
     with ProcessPoolExecutor(jobs) as pool:
         for line in pool.map(partial(play, shape=shape, keep=keep), range(first, first + count)):
             print(line, flush=True)
--- /dev/null
+++ b/tests/soak/older.py
@@ -0,0 +1,42 @@
+"""Run a program as one of wire version 1: `python -m tests.soak.older ROLE`.
+
+It says nothing of what it speaks, and a message or a deflated frame that only later versions have ends its
+connection, as it did in those programs.
+"""
+
+from __future__ import annotations
+
+import runpy
+import sys
+
+from eiderhub.coordination import wire
+
+# Before any other module takes them from there.
+wire.OWN_SUPPORT = wire.UNTOLD
+wire.WIRE_VERSION = wire.UNTOLD_VERSION
+
+from eiderhub.transport import frames  # noqa: E402
+from eiderhub.transport.frames import DEFLATED, LENGTH, FrameBroken, Message, Unknown  # noqa: E402
+from eiderhub.transport.wire_counts import FrameFault  # noqa: E402
+
+_decoded = frames.decoded
+
+
+def decoded(buffer: bytearray, start: int, end: int) -> Message | Unknown:
+    """What a program of wire version 1 would make of a frame.
+
+    Raises:
+        FrameBroken: it knows no such frame.
+    """
+    if LENGTH.unpack_from(buffer, start)[0] & DEFLATED:
+        raise FrameBroken(FrameFault.OVERSIZED)
+    message = _decoded(buffer, start, end)
+    if isinstance(message, Unknown) or type(message) in frames.REQUIRED_FEATURE:
+        raise FrameBroken(FrameFault.INVALID, str(message))
+    return message
+
+
+if __name__ == "__main__":
+    frames.decoded = decoded
+    role = sys.argv.pop(1)
+    runpy.run_module(f"eiderhub.programs.{role}", run_name="__main__")
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,6 +22,9 @@
 START_S = 60.0
 
 
+WIRE_1 = "wire-1"  # the programs under test, which then speak as before the second wire version
+
+
 class Shape(NamedTuple):
     """How large a soak is."""
 
@@ -32,6 +35,8 @@
     troubles_per_s: float = 1.2
     changes_per_s: float = 5.0
     finish_s: float = 10.0  # for everything to come to its end after the troubles, as operators give
+    older: str = ""  # programs that are upgraded and put back: WIRE_1, or a folder of an older source
+    upgrades_per_s: float = 1.5
 
 
 class Soak:
@@ -55,11 +60,14 @@
         try:
             for _ in range(6):
                 await self._add_endpoint()
+            for program in self.tier.programs:
+                self._install(program, older=bool(self.shape.older))
             self.tier.start()
             await self._configure_first()
             await self._wait_ready()
             self._began = now()
-            for work in (*[self._live] * self.shape.clients, *[self._lots] * 3, self._change, self._strike):
+            works = [*[self._live] * self.shape.clients, *[self._lots] * 3, self._change, self._strike]
+            for work in works + ([self._upgrade] if self.shape.older else []):
                 self._tasks.append(asyncio.create_task(work()))
             await asyncio.sleep(self.shape.seconds)
             self._over.set()
@@ -275,8 +283,12 @@
         self, what: str, work: Callable[[Program], Coroutine[Any, Any, None]], excuse: bool
     ) -> None:
         program = self._victim()
-        if program is None:
-            return
+        if program is not None:
+            await self._work_on(program, what, work, excuse)
+
+    async def _work_on(
+        self, program: Program, what: str, work: Callable[[Program], Coroutine[Any, Any, None]], excuse: bool
+    ) -> None:
         self._busy.add(program.name)
         self._say(f"{program.name} {what}")
         began = now()
@@ -287,6 +299,34 @@
                 self.account.touches.append(Touch(program.name, began, now()))
             self._busy.discard(program.name)
 
+    # --- upgrades ---
+
+    def _install(self, program: Program, older: bool) -> None:
+        """What the program is when it is started next."""
+        if older and self.shape.older == WIRE_1:
+            program.module = f"tests.soak.older {program.role}"
+        elif older:
+            program.source = Path(self.shape.older)
+        else:
+            program.module, program.source = f"eiderhub.programs.{program.role}", None
+
+    async def _upgrade(self) -> None:
+        """One process after the other is stopped and started as the other version, all the way and back."""
+        older = False
+        while not self._over.is_set():
+            for program in self.rng.sample(self.tier.programs, len(self.tier.programs)):
+                await asyncio.sleep(self.rng.expovariate(self.shape.upgrades_per_s))
+                while program.name in self._busy and not self._over.is_set():
+                    await asyncio.sleep(PAUSE_S)
+                if self._over.is_set():
+                    return
+                self._install(program, older)
+                what = "is put back" if older else "is upgraded"
+                await self._work_on(
+                    program, what, lambda each: self._restart(each, signal.SIGTERM), excuse=False
+                )
+            older = not older
+
     async def _kill(self) -> None:
         await self._touch("is killed", lambda p: self._restart(p, signal.SIGKILL), excuse=True)
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from eiderhub.coordination import catch_up, replication
+from eiderhub.coordination import catch_up, replication, tail
 from tests.model.history import Broken
 from tests.model.schedules import SCHEDULES, play
 
@@ -20,11 +20,13 @@
 BLOCK = 50
 SMALL_CHUNK_BYTES = 120  # so that the small state of a schedule takes several chunks
 SHORT_HISTORY = 4
+SHORT_TAIL = 1  # so that snapshots are needed often
 
 
 def set_small_sizes() -> None:
     setattr(replication, "CHUNK_BYTES", SMALL_CHUNK_BYTES)  # noqa: B010
     catch_up.HISTORY_UPDATES = SHORT_HISTORY
+    tail.KEPT_UPDATES = SHORT_TAIL
 
 
 def play_block(first: int) -> list[str]:
