Silence that ends membership follows catch_up_s; each replica says at its start what it keeps

Cause: a member that was silent for 1.5 s was replaced whatever the deployment's bound; one of under about 3 s was promised too much, and nobody said so. One line at the start says up to what state a repair is in time, by link and a measured speed, or that it is not.

--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -76,7 +76,9 @@
         self._zones: dict[str, str] = {}  # by endpoint, of the list of that version
         self._zones_version = self.tables.endpoints.version
         least = copies_needed(settings.fault_tolerance)
-        self._host = ReplicaHost(store, node, self._rng, GroupSize(None, least), self._on_change)
+        self._host = ReplicaHost(
+            store, node, self._rng, GroupSize(None, least), self._on_change, settings.catch_up_s
+        )
         self.group = self._host.group
         self._storage = StorageTending(self.group, store, least, gathers=not settings.zones_lost)
         control_port = address.parse(settings.control).port
--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -11,6 +11,7 @@
 import picologging as logging
 
 from eiderhub.control.messages import Hello, NodeRecord
+from eiderhub.coordination import repair
 from eiderhub.coordination.messages import REPLICA_MESSAGES
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.timing import GroupSize
@@ -34,6 +35,9 @@
         log.error("%s", error)
         sys.exit(1)
     log.info("starts as %s at %s, created %s", store.identity, store.position, store.created)
+    timing = repair.timing_for(settings.catch_up_s)
+    kept, line = repair.judge(settings.catch_up_s, timing, settings.link_mbps, store.used_bytes)
+    log.log(logging.INFO if kept else logging.WARNING, line)
     return store
 
 
@@ -47,8 +51,10 @@
         rng: random.Random,
         size: GroupSize,
         on_change: Callable[[], None],
+        catch_up_s: float,
     ) -> None:
-        replica = Replica(node.identity, store, GroupDriver.now(), rng, size)
+        timing = repair.timing_for(catch_up_s)
+        replica = Replica(node.identity, store, GroupDriver.now(), rng, size, timing)
         self.group = GroupDriver(replica, node, on_change)
         self._connections: dict[Connection, NodeRecord] = {}
 
--- a/eiderhub/programs/settings.py
+++ b/eiderhub/programs/settings.py
@@ -41,6 +41,8 @@
     disk_mb: float
     memory_mb: float
     platform: str
+    link_mbps: float  # 0: not told
+    catch_up_s: float  # after which a machine that is back, or new, counts as there
     drain_ms: float
     grace_s: float
     status_ttl_s: float
@@ -134,6 +136,8 @@
         disk_mb=reader.take("limits.disk_mb", float, 64.0),
         memory_mb=reader.take("limits.memory_mb", float, 300.0),
         platform=reader.take("cloud_api.address", str, ""),
+        link_mbps=reader.take("limits.link_mbps", float, 0.0),
+        catch_up_s=reader.take("bounds.catch_up_s", float, 4.7),
         drain_ms=reader.take("bounds.drain_ms", float, 3000.0),
         grace_s=reader.take("bounds.grace_s", float, 8.0),
         status_ttl_s=reader.take("bounds.status_ttl_s", float, 120.0),
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -61,7 +61,9 @@
         self.tables = Tables()
         self._routes: RouteTable | None = None
         least = copies_needed(settings.fault_tolerance)
-        self._host = ReplicaHost(store, node, self._rng, GroupSize(least, least), self._on_change)
+        self._host = ReplicaHost(
+            store, node, self._rng, GroupSize(least, least), self._on_change, settings.catch_up_s
+        )
         self.group = self._host.group
         self.group.roster.gathers = not settings.zones_lost
         self._jobs = JobTable(store)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -45,14 +45,19 @@
     """`loss`: the share of answers to operators that are lost."""
 
     def __init__(
-        self, seed: int, shape: Shape = CONTROL, loss: float = 0.3, disk: Callable[[], Disk] = Disk
+        self,
+        seed: int,
+        shape: Shape = CONTROL,
+        loss: float = 0.3,
+        disk: Callable[[], Disk] = Disk,
+        timing: Timing | None = None,
     ) -> None:
         self.seed = seed
         self.rng = random.Random(seed)
         self.timeline = Timeline()
         self.network = Network(self.timeline, self.rng)
         self.size = shape.size
-        self.timing = Timing()
+        self.timing = timing or Timing()
         self.installed = OWN_FORMS  # of the program that new machines come with
         self.make_disk = disk
         self.history = History()
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -166,7 +166,7 @@
             gates = [asyncio.Event(), asyncio.Event()]
             paying: list[int] = []
 
-            async def pay(message: object) -> Refusal | None:
+            async def pay(route: str, tokens: int) -> Refusal | None:
                 paying.append(len(paying))
                 number = paying[-1]
                 await gates[number].wait()
