--- a/tests/model/writes.py
+++ b/tests/model/writes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
 from eiderhub.coordination.messages import Write
@@ -56,6 +57,27 @@
     return process is not None and bool(machine.identity) and machine.identity in process.replica.members
 
 
+def _seconds_until(found: Callable[[], bool], world: World, writer: Writer, what: str) -> float:
+    """Let time pass until something holds; how long that took.
+
+    Raises:
+        Broken: longer than the bound.
+    """
+    began = world.timeline.now
+    while not found():
+        if world.timeline.now - began > REPLACED_WITHIN_S:
+            raise Broken(f"not within {REPLACED_WITHIN_S:g} s: {what}; {writer.written} writes on")
+        world.timeline.run_until(world.timeline.now + 0.02)
+    return world.timeline.now - began
+
+
+def _end(world: World, writer: Writer) -> None:
+    """No more writes; everybody catches up, and orders are taken again."""
+    writer.stopped = True
+    recover(world)
+    serve(world)
+
+
 def replaced_under_writes(world: World) -> float:
     """A backup is replaced by an empty machine while another is cut off, under a steady stream of writes.
 
@@ -70,16 +92,9 @@
     world.timeline.after(CUT_S, world.network.heal)
     made = world.replace(lost)
     world.timeline.after(START_S, made.start)
-    began = world.timeline.now
-    while not _member(world, made):
-        if world.timeline.now - began > REPLACED_WITHIN_S:
-            raise Broken(f"no member {REPLACED_WITHIN_S:g} s after the loss, {writer.written} writes on")
-        world.timeline.run_until(world.timeline.now + 0.02)
-    took = world.timeline.now - began
+    took = _seconds_until(partial(_member, world, made), world, writer, "it belongs")
     world.run(2.0)
-    writer.stopped = True
-    recover(world)
-    serve(world)
+    _end(world, writer)
     return took
 
 
@@ -95,15 +110,8 @@
     world.network.slow_down(made.address, SLOW_S)
     world.introduce()
     made.start()
-    began = world.timeline.now
-    while not _member(world, made):
-        if world.timeline.now - began > REPLACED_WITHIN_S:
-            raise Broken(f"no member {REPLACED_WITHIN_S:g} s after its start, {writer.written} writes on")
-        world.timeline.run_until(world.timeline.now + 0.02)
-    took = world.timeline.now - began
-    writer.stopped = True
-    recover(world)
-    serve(world)
+    took = _seconds_until(partial(_member, world, made), world, writer, "it belongs")
+    _end(world, writer)
     return took
 
 
@@ -114,15 +122,8 @@
     world.run(1.0)
     leader = _leader(world)
     world.retire(leader)
-    began = world.timeline.now
-    while not leader.removed:
-        if world.timeline.now - began > REPLACED_WITHIN_S:
-            raise Broken(f"not empty {REPLACED_WITHIN_S:g} s after the order, {writer.written} writes on")
-        world.timeline.run_until(world.timeline.now + 0.02)
-    took = world.timeline.now - began
-    writer.stopped = True
-    recover(world)
-    serve(world)
+    took = _seconds_until(lambda: leader.removed, world, writer, "it is empty")
+    _end(world, writer)
     return took
 
 
@@ -144,6 +145,4 @@
         world.timeline.after(START_S, made.start)
         world.run(START_S + CATCH_UP_S)
         world.run_until(partial(_member, world, made), LEADS_WITHIN_S, "it belongs")
-    writer.stopped = True
-    recover(world)
-    serve(world)
+    _end(world, writer)
