--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 3: control machines lose their disks one at a time, each fully back before the next; none leads then."""
+"""Case 3: control machines lose their disks one at a time, each back before the next; then none leads."""
 
 from __future__ import annotations
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# The stand-ins are plain Python scripts and need only the standard library: they are compiled as a check.
+# The stand-ins are plain Python scripts and need only the standard library: compiling them is a check.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q harness.py 1 2 3 2>/dev/null || python3 -m py_compile harness.py
+python3 -m py_compile harness.py config_checks.py 1/case.py 2/case.py 3/case.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -300,7 +300,7 @@
         self._ips = [f"{net}.{number + 1}" for number in range(len(roles))]
         self._roles = roles
         self.programs: list[Program] = []
-        self.base_port = 20_000 + os.getpid() % 2_000 * 20
+        self.base_port = 20_000 + os.getpid() % 600 * 20
 
     async def start(self) -> None:
         for endpoint in self.endpoints:
