Control, storage: a primary says how many losses its group bears

Before the loss nothing in status, metrics or logs said that their groups bear less.

Change: `losses_borne` and `losses_to_bear` in GET /status, `ottercleat tier status` and the /metrics of a primary (control and storage), with `group_members` and `group_live_members`; a warning in the log when the group bears too little.

--- a/eiderhub/cli/tier.py
+++ b/eiderhub/cli/tier.py
@@ -73,6 +73,8 @@
     fields: dict[str, Any] = json.loads(body)
     for key in ("node", "leads", "epoch", "version", "generation", "primary", "sidecars"):
         print(f"{key:<12}{fields[key]}")
+    if fields.get("losses_borne") is not None:
+        print(f"{'bears':<12}{fields['losses_borne']} of {fields['losses_to_bear']} losses")
     for version, count in fields.get("wire_versions", {}).items():
         print(f"  wire version {version}: {count} processes")
     for node in fields["nodes"]:
--- a/eiderhub/coordination/membership.py
+++ b/eiderhub/coordination/membership.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from eiderhub.coordination.messages import Write
-from eiderhub.coordination.timing import GroupSize
+from eiderhub.coordination.timing import GroupSize, losses_borne, tolerated_losses
 
 MEMBERS_KEY = "group/members"
 BARRED_KEY = "group/barred"
@@ -49,6 +49,29 @@
         """Members that are neither leaving nor silent."""
         return self.members - self.leaving - self.silent
 
+    @property
+    def dead(self) -> frozenset[str]:
+        """Members that do not reply, or whose disk is lost."""
+        return self.members & (self.silent | self.replaced)
+
+
+class GroupHealth(NamedTuple):
+    """How many losses a group bears now, as known to its primary."""
+
+    members: int
+    live: int
+    losses_borne: int  # live members that may be lost at once without losing the majority
+    losses_to_bear: int  # that the deployment asks for
+
+    @property
+    def sufficient(self) -> bool:
+        return self.losses_borne >= self.losses_to_bear
+
+
+def health(view: GroupView, size: GroupSize) -> GroupHealth:
+    members, live = len(view.members), len(view.members - view.dead)
+    return GroupHealth(members, live, losses_borne(members, live), tolerated_losses(size.min_live))
+
 
 class MembershipChange(NamedTuple):
     members: frozenset[str]
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -33,9 +33,11 @@
 from eiderhub.coordination.membership import (
     BARRED_KEY,
     MEMBERS_KEY,
+    GroupHealth,
     GroupView,
     decode_identities,
     encode_identities,
+    health,
     needs_learner,
     next_change,
     next_learner,
@@ -186,6 +188,10 @@
             and peer.synced_position.version >= required_version
         )
 
+    def health(self, now: float) -> GroupHealth | None:
+        """On the primary: how many losses the group bears."""
+        return health(self._group_view(now), self._size) if self.leads(now) else None
+
     # --- input from the driver ---
 
     def bootstrap(self, members: Iterable[str]) -> None:
--- a/eiderhub/coordination/timing.py
+++ b/eiderhub/coordination/timing.py
@@ -29,6 +29,16 @@
     return 2 * tolerated_losses + 1
 
 
+def losses_borne(members: int, live: int) -> int:
+    """How many more live members a group may lose at once and keep its majority; negative: it has none."""
+    return live - majority(members)
+
+
+def tolerated_losses(needed: int) -> int:
+    """The losses that a group of the needed size bears: the inverse of `copies_needed`."""
+    return (needed - 1) // 2
+
+
 def majority(members: int) -> int:
     """The smallest number that is more than half of the members."""
     return members // 2 + 1
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -39,7 +39,7 @@
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.coordination.wire import OWN_SUPPORT
 from eiderhub.programs.operator_service import OperatorService
-from eiderhub.programs.replica_host import ReplicaHost
+from eiderhub.programs.replica_host import ReplicaHost, health_metric_lines
 from eiderhub.programs.settings import TierSettings
 from eiderhub.programs.storage_group import StorageGroupManager
 from eiderhub.storage.store import LmdbStore
@@ -379,6 +379,7 @@
             f"committed {replica.committed}",
             f"form {replica.record_format}",
             f"generation {self.tables.configuration.generation}",
+            *health_metric_lines(replica.health(self._now())),
             *(f'wire_processes{{version="{v}"}} {n}' for v, n in self.tables.nodes.wire_versions.items()),
             f"endpoints {len(self.tables.endpoints.endpoints)}",
             f"nodes {len(self.tables.nodes.nodes)}",
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -18,6 +18,7 @@
 from eiderhub.control.messages import NodeRecord
 from eiderhub.control.retirement import RetireOrder
 from eiderhub.coordination.roster import address_of
+from eiderhub.coordination.timing import tolerated_losses
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.group import CommitOutcomeUnknown, GroupDriver, NotPrimary
 from eiderhub.transport.operator_calls import Call, Reply
@@ -51,6 +52,8 @@
     wire_versions: dict[str, int]  # number of processes, including sidecars, by version
     form: int  # record format in which the control state may be written
     nodes: list[NodeStatus]
+    losses_to_bear: int  # `fault_tolerance.machines`
+    losses_borne: int | None  # members that the group may lose at once now; known to the primary only
 
 
 class OperatorService:
@@ -114,6 +117,7 @@
     def _status(self) -> Reply:
         """Return the status as known to this node, primary or not."""
         replica = self._group.replica
+        health = replica.health(self._group.now())
         status = Status(
             node=self._node.name,
             leads=self._group.leads(),
@@ -126,6 +130,8 @@
             wire_versions=self._tables.nodes.wire_versions,
             form=replica.record_format,
             nodes=[NodeStatus(n.name, n.role, n.zone, n.wire_version) for n in self._tables.nodes.nodes],
+            losses_to_bear=tolerated_losses(self._min_storage_nodes),
+            losses_borne=None if health is None else health.losses_borne,
         )
         return Reply(HTTPStatus.OK, msgspec.json.encode(status))
 
--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -12,6 +12,7 @@
 
 from eiderhub.control.messages import Hello, NodeRecord
 from eiderhub.coordination import repair
+from eiderhub.coordination.membership import GroupHealth
 from eiderhub.coordination.messages import REPLICA_MESSAGES
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.timing import GroupSize
@@ -42,6 +43,18 @@
     return store
 
 
+def health_metric_lines(health: GroupHealth | None) -> list[str]:
+    """Metrics of the group, one per line; known to its primary only."""
+    if health is None:
+        return []
+    return [
+        f"group_members {health.members}",
+        f"group_live_members {health.live}",
+        f"losses_borne {health.losses_borne}",
+        f"losses_to_bear {health.losses_to_bear}",
+    ]
+
+
 class ReplicaHost:
     """A replica with its driver and the connections from other replicas."""
 
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -31,7 +31,7 @@
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.programs.batch_calls import BatchCall, BatchCalls
 from eiderhub.programs.dead_letters import DeadLetterTask
-from eiderhub.programs.replica_host import ReplicaHost
+from eiderhub.programs.replica_host import ReplicaHost, health_metric_lines
 from eiderhub.programs.settings import TierSettings
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.control_session import ControlSession, control_candidates
@@ -333,6 +333,7 @@
         ]
         if not self.group.leads():
             return lines
+        lines += health_metric_lines(self.group.replica.health(self._now()))
         lines += [f"jobs {len(self._jobs.jobs)}", f"sessions {len(self._connections)}"]
         scheduler_status = self._dispatcher.scheduler.status(self._now())
         lines += [
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -11,6 +11,7 @@
 from eiderhub import address
 from eiderhub.control.messages import Hello, NodeRecord
 from eiderhub.coordination.commits import CommitOutcome, CommitQueue
+from eiderhub.coordination.membership import GroupHealth
 from eiderhub.coordination.messages import ReplicaMessage, Write
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.roster import Roster, address_of
@@ -21,6 +22,7 @@
 
 TICK_INTERVAL_S = 0.05
 RECONNECT_DELAY_S = 0.2
+HEALTH_CHECK_INTERVAL_S = 1.0  # between checks of how many losses the group bears
 GROUP_COMMIT_DELAY_S = 0.003  # writes that arrive within this time share one sync
 
 log = logging.getLogger("group")
@@ -81,6 +83,8 @@
         self._incoming: dict[str, Connection] = {}  # by identity
         self._logged_members: frozenset[str] = frozenset()
         self._unreadable_logged = False
+        self._logged_health: GroupHealth | None = None
+        self._next_health_check_at = 0.0
         self._pending_writes: list[Write] = []
         self._pending_waiters: list[asyncio.Future[None]] = []  # for writes not yet proposed
         self._commits: CommitQueue[asyncio.Future[None]] = CommitQueue(replica)
@@ -238,6 +242,22 @@
             self.update_members()
             self.replica.tick(self.now())
             self._process_changes()
+            self.log_health(self.now())
+
+    def log_health(self, now: float) -> None:
+        """Log when the group, as its primary sees it, begins to bear too few losses, and when that ends."""
+        if now < self._next_health_check_at:
+            return
+        self._next_health_check_at = now + HEALTH_CHECK_INTERVAL_S
+        health, earlier = self.replica.health(now), self._logged_health
+        self._logged_health = health
+        if health is None or health == earlier:
+            return
+        if not health.sufficient:
+            log.warning("the group bears %d losses, not %d: %d members, %d of them live",
+                        health.losses_borne, health.losses_to_bear, health.members, health.live)  # fmt: skip
+        elif earlier is not None and not earlier.sufficient:
+            log.info("the group bears %d losses again: %d members", health.losses_borne, health.members)
 
     def update_members(self) -> None:
         for member in self.replica.members:
