Coordination: members whose disk is lost no longer add up in a small group

Cause: a member was removed only while 2t+1 live ones remained. Four machines never have five live members, so each lost disk left an identity that no disk has and that counts for the majority: 5, then 6 members with 4 live ones.

Change: a dead member may also be removed while 2t+1 members remain, live or not; a smaller group removes identities whose disk is lost where that lowers the majority. Members that live and leave still need 2t+1 live ones. For one tolerated loss nothing changes. The storage group runs the same code.

Why it works: a dead member can only raise the majority; any two majorities of adjacent memberships still meet; with 2t+1 members left a majority is more than t copies.

--- a/eiderhub/coordination/membership.py
+++ b/eiderhub/coordination/membership.py
@@ -1,9 +1,9 @@
 """Membership changes of a group: one at a time, each a replicated write like any other.
 
 The primary replicates to a replica that asks to join (a learner) and makes it a member once it has all
-committed writes. It removes members that are leaving or silent, as long as enough live members have all
-committed writes. A replica that leaves permanently is barred: the write that removes it also adds it to the
-identities that no primary of the group will ever admit again.
+committed writes. It removes members that are leaving or silent, as long as enough members remain and the
+live ones have all committed writes. A replica that leaves permanently is barred: the write that removes it
+also adds it to the identities that no primary of the group will ever admit again.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import msgspec
 
 from eiderhub.coordination.messages import Write
-from eiderhub.coordination.timing import GroupSize, losses_borne, tolerated_losses
+from eiderhub.coordination.timing import GroupSize, losses_borne, majority, tolerated_losses
 
 MEMBERS_KEY = "group/members"
 BARRED_KEY = "group/barred"
@@ -92,9 +92,35 @@
     return learner not in view.leaving and view.synced(learner) and view.heard(learner)
 
 
+def all_live_synced(view: GroupView) -> bool:
+    return all(view.synced(member) for member in view.live)
+
+
 def may_remove(view: GroupView, size: GroupSize) -> bool:
-    """Whether a member may be removed: enough live ones remain, each with all committed writes."""
-    return len(view.live) >= size.min_live and all(view.synced(member) for member in view.live)
+    """Whether any member may be removed: enough live ones remain, each with all committed writes."""
+    return len(view.live) >= size.min_live and all_live_synced(view)
+
+
+def removable_dead(view: GroupView, size: GroupSize) -> frozenset[str]:
+    """The dead members that may be removed although fewer live ones than needed remain.
+
+    Otherwise each repaired loss would leave a dead member, until the live ones are no majority. While the
+    needed number of members remains, their majority is more than the tolerated losses. A smaller group lets
+    go only of identities whose disk is lost, where that lowers the majority.
+    """
+    if not all_live_synced(view):
+        return frozenset()
+    members = len(view.members)
+    if members > size.min_live:
+        return view.dead
+    lowers_majority = majority(members - 1) < majority(members)
+    return view.members & view.replaced if lowers_majority else frozenset()
+
+
+def removable(view: GroupView, size: GroupSize) -> list[str]:
+    """The members that may be removed now; those whose disk is lost come first."""
+    members = view.members - view.live if may_remove(view, size) else removable_dead(view, size)
+    return sorted(members - {view.identity}, key=lambda member: (member not in view.replaced, member))
 
 
 def next_change(view: GroupView, learners: Collection[str], size: GroupSize) -> MembershipChange | None:
@@ -105,9 +131,8 @@
     for learner in sorted(learners):
         if learner not in view.members and may_admit(view, learner):
             return MembershipChange(view.members | {learner}, view.barred)
-    if may_remove(view, size):
-        for member in sorted(view.members - view.live - {view.identity}):
-            return MembershipChange(view.members - {member}, view.barred | (view.retiring & {member}))
+    for member in removable(view, size):
+        return MembershipChange(view.members - {member}, view.barred | (view.retiring & {member}))
     return None
 
 
--- a/eiderhub/coordination/timing.py
+++ b/eiderhub/coordination/timing.py
@@ -21,7 +21,7 @@
     """The intended number of members of a group."""
 
     target: int | None = None  # number of live members; None: every replica that asks to join
-    min_live: int = 3  # no member is removed unless this many live ones remain
+    min_live: int = 3  # members needed to bear the tolerated losses; what remains after a removal
 
 
 def copies_needed(tolerated_losses: int) -> int:
--- a/tests/model/named.py
+++ b/tests/model/named.py
@@ -192,6 +192,19 @@
     serve(world)
 
 
+def disks_lost_in_turn(world: World) -> None:
+    """Machines lose their disks one at a time, each after the one before counts as available again."""
+    world.run(2.0)
+    for _ in range(5):
+        lost = _leader(world) if world.rng.random() < 0.7 else _backup(world)
+        lost.wipe()
+        world.run(world.rng.uniform(0.3, 3.0))
+        lost.start()
+        world.run(CATCH_UP_S)
+        _leader(world)
+    serve(world)
+
+
 def retiring_machine_loses_its_disk(world: World) -> None:
     """A retiring machine restarts with an empty disk; it is removed, and another disk is lost."""
     world.run(2.0)
--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -323,6 +323,12 @@
         "disk_lost_while_another_is_down",
         ((membership, "may_remove", _all_synced),),
     ),
+    PlantedFault(
+        "a dead member is kept while fewer live ones than needed remain",
+        3,
+        "disks_lost_in_turn",
+        ((membership, "removable_dead", _always(frozenset())),),
+    ),
     PlantedFault(
         "a learner is admitted before it is synced",
         3,
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -39,6 +39,10 @@
 CONTROL_OF_THREE = Shape(3, 3, GroupSize(None, 3))
 STORAGE = Shape(4, 3, GroupSize(3, 3))  # a storage group of three with a spare
 SHAPES = (CONTROL, STORAGE, CONTROL_OF_THREE)
+# Groups that are smaller than the two losses to be borne ask for.
+CONTROL_TOO_SMALL = Shape(4, 3, GroupSize(None, 5))
+SMALLEST_CONTROL_TOO_SMALL = Shape(3, 3, GroupSize(None, 5))
+STORAGE_TOO_SMALL = Shape(4, 4, GroupSize(5, 5))
 
 
 class World:
--- a/tests/test_five_points.py
+++ b/tests/test_five_points.py
@@ -14,7 +14,16 @@
 from tests.model.disk import Disk
 from tests.model.history import InvariantViolation
 from tests.model.planted import PlantedFault
-from tests.model.world import CONTROL, CONTROL_OF_THREE, STORAGE, Shape, World
+from tests.model.world import (
+    CONTROL,
+    CONTROL_OF_THREE,
+    CONTROL_TOO_SMALL,
+    SMALLEST_CONTROL_TOO_SMALL,
+    STORAGE,
+    STORAGE_TOO_SMALL,
+    Shape,
+    World,
+)
 from tests.test_model import set_small_sizes
 
 SEEDS = 12
@@ -34,6 +43,9 @@
     (named.disk_lost_while_another_is_down, CONTROL_OF_THREE),
     (named.learner_with_full_disk, CONTROL_OF_THREE),
     (named.empty_disk_votes, CONTROL_OF_THREE),
+    (named.disks_lost_in_turn, SMALLEST_CONTROL_TOO_SMALL),
+    (named.disks_lost_in_turn, STORAGE_TOO_SMALL),
+    (named.disks_lost_in_turn, CONTROL_TOO_SMALL),
     (named.retiring_machine_loses_its_disk, STORAGE),
     (named.restarted_after_many_changes, CONTROL),
 ]
@@ -56,6 +68,19 @@
         play(schedule, shape, seed)
 
 
+@pytest.mark.parametrize("shape", [CONTROL_TOO_SMALL, SMALLEST_CONTROL_TOO_SMALL, STORAGE_TOO_SMALL])
+def test_group_that_is_too_small_outlives_any_number_of_repaired_losses(shape: Shape) -> None:
+    """Guards against dead identities that add up, one with each repaired loss, until no majority is left."""
+    set_small_sizes()
+    for seed in range(SEEDS):
+        world = World(seed, shape)
+        named.disks_lost_in_turn(world)
+        leader = world.leader()
+        assert leader is not None and leader.process is not None
+        running = {machine.identity for machine in world.machines.values()}
+        assert len(leader.process.replica.members - running) <= 1
+
+
 @pytest.mark.parametrize(("sidecars", "seeds"), [(30, 6), (170, 2)])
 def test_change_reaches_every_sidecar_though_the_primary_that_acknowledged_it_is_lost(
     sidecars: int, seeds: int
