Control: auxiliary replicas on storage machines make up the group that t losses ask for

Cause: the control group was the control nodes alone, one a zone.

Change: each storage node that counts keeps a store for an auxiliary replica of the control group and offers it in its session. The primary recruits as many as the group lacks. They store the state and vote by the same rules; they stand for election later, yield to control nodes, serve nobody, and leave when they are not needed, when their machine retires, or when its program offers none. A group that is still smaller acknowledges with t+1 copies, or those of all live members.

--- a/eiderhub/control/messages.py
+++ b/eiderhub/control/messages.py
@@ -24,6 +24,7 @@
     zone: str
     identity: str = ""  # of its replica, if it has one: id@host:port
     wire_version: int = DEFAULT_WIRE_VERSION
+    auxiliary: str = ""  # identity of the auxiliary replica of the control group that it offers to run
 
 
 class EndpointRecord(Struct, array_like=True, frozen=True):
--- a/eiderhub/control/retirement.py
+++ b/eiderhub/control/retirement.py
@@ -15,7 +15,7 @@
 
 from eiderhub.control.messages import NodeRecord, Retirement, StorageReport
 from eiderhub.coordination.messages import Write
-from eiderhub.coordination.roster import address_of
+from eiderhub.coordination.roster import address_of, host_of
 
 RETIRE_PREFIX = "retire/"
 
@@ -47,6 +47,11 @@
     return order is not None and (not order.done or identity in order.identities)
 
 
+def retiring_hosts(orders: Mapping[str, RetireOrder]) -> frozenset[str]:
+    """The hosts of all machines with an order that is not done."""
+    return frozenset(host_of(i) for order in orders.values() if not order.done for i in order.identities)
+
+
 def is_empty(order: RetireOrder, report: StorageReport) -> bool:
     """Whether the storage group has no data on the machine and can never place any there again."""
     addresses = {address_of(identity) for identity in order.identities}
--- a/eiderhub/coordination/membership.py
+++ b/eiderhub/coordination/membership.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.messages import Write
 from eiderhub.coordination.timing import GroupSize, losses_borne, majority, tolerated_losses
 
@@ -39,6 +40,8 @@
     silent: frozenset[str]  # members without a reply for too long
     synced: Callable[[str], bool]  # whether a replica has all committed writes
     heard: Callable[[str], bool]  # whether a replica has replied within the lease time
+    absent: frozenset[str] = frozenset()  # silent members that are not expected back soon
+    withdrawn: frozenset[str] = frozenset()  # auxiliary members that their machines no longer offer to run
 
     @property
     def leaving(self) -> frozenset[str]:
@@ -106,7 +109,8 @@
 
     Otherwise each repaired loss would leave a dead member, until the live ones are no majority. While the
     needed number of members remains, their majority is more than the tolerated losses. A smaller group lets
-    go only of identities whose disk is lost, where that lowers the majority.
+    go only of identities whose disk is lost, where that lowers the majority, and of auxiliary replicas whose
+    machines no longer run them.
     """
     if not all_live_synced(view):
         return frozenset()
@@ -114,12 +118,25 @@
     if members > size.min_live:
         return view.dead
     lowers_majority = majority(members - 1) < majority(members)
-    return view.members & view.replaced if lowers_majority else frozenset()
+    lost = view.members & view.replaced if lowers_majority else frozenset()
+    return lost | (view.dead & view.withdrawn)
+
+
+def has_surplus(view: GroupView, size: GroupSize) -> bool:
+    """Whether the group has enough members without one of its auxiliary ones.
+
+    A member that has missed a heartbeat may be lost already, and an auxiliary one must not go before that is
+    known.
+    """
+    surely_live = [member for member in view.live if view.heard(member)]
+    return len(surely_live) > size.min_live and all_live_synced(view)
 
 
 def removable(view: GroupView, size: GroupSize) -> list[str]:
-    """The members that may be removed now; those whose disk is lost come first."""
+    """The members that may be removed now; those whose disk is lost come first, auxiliary ones last."""
     members = view.members - view.live if may_remove(view, size) else removable_dead(view, size)
+    if not members and has_surplus(view, size):
+        members = frozenset(member for member in view.live if is_auxiliary(member))
     return sorted(members - {view.identity}, key=lambda member: (member not in view.replaced, member))
 
 
@@ -136,6 +153,21 @@
     return None
 
 
+def shortage(view: GroupView, size: GroupSize) -> int:
+    """How many auxiliary replicas the group lacks.
+
+    A member that is not auxiliary counts for some time while it is away: it asks to join by itself when it
+    returns, or its successor does. An auxiliary one that is away has to be replaced by the primary.
+    """
+    expected = {member for member in view.members - view.absent if not is_auxiliary(member)}
+    return max(0, size.min_live - len(view.live | expected))
+
+
+def lacks_auxiliary(view: GroupView, learners: Collection[str], size: GroupSize) -> bool:
+    """Whether the group has to recruit another auxiliary replica."""
+    return shortage(view, size) > sum(is_auxiliary(learner) for learner in learners)
+
+
 def needs_learner(view: GroupView, learners: Collection[str], size: GroupSize) -> bool:
     return size.target is None or len(view.live) + len(learners) < size.target
 
@@ -145,13 +177,17 @@
     learners: Collection[str],
     join_candidates: Collection[str],
     failed_at: Mapping[str, float],
+    recruits: bool = False,
 ) -> str | None:
     """The replica to start as a learner next, from those that ask to join.
 
-    One that never catches up, for example because its disk is full, must not keep all others out: a replica
-    that has recently failed as a learner is tried last.
+    An auxiliary one is started only if the group `recruits` such replicas, and after all others. One that
+    never catches up, for example because its disk is full, must not keep all others out: a replica that has
+    recently failed as a learner is tried last.
     """
-    for candidate in sorted(join_candidates, key=lambda c: failed_at.get(c, 0.0)):
+    for candidate in sorted(join_candidates, key=lambda c: (is_auxiliary(c), failed_at.get(c, 0.0))):
+        if is_auxiliary(candidate) and not recruits:
+            continue
         if candidate not in view.members and candidate not in view.leaving and candidate not in learners:
             return candidate
     return None
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -19,7 +19,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.catch_up import CHUNK_BYTES, History, Peer, SnapshotTransfer
+from eiderhub.coordination.commit_rule import CommitRule
 from eiderhub.coordination.forms import (
     FIRST_FORMAT,
     FORMAT_KEY,
@@ -38,9 +40,11 @@
     decode_identities,
     encode_identities,
     health,
+    lacks_auxiliary,
     needs_learner,
     next_change,
     next_learner,
+    shortage,
 )
 from eiderhub.coordination.messages import (
     EpochAnswer,
@@ -56,7 +60,7 @@
     Write,
 )
 from eiderhub.coordination.store import INITIAL_POSITION, ReplicaStore, StoreFailed
-from eiderhub.coordination.timing import GroupSize, Timing, majority
+from eiderhub.coordination.timing import GroupSize, Timing, majority, tolerated_losses
 from eiderhub.coordination.witness import WitnessView, decide
 
 GROUP_STATE_KEYS = frozenset({MEMBERS_KEY, BARRED_KEY, FORMAT_KEY})
@@ -90,7 +94,9 @@
         self.formats = formats
         self.store = store
         self.timing = timing or Timing()
+        self.auxiliary = is_auxiliary(identity)
         self.join_candidates: list[str] = []  # replicas that ask to join, the preferred ones first
+        self.withdrawn: frozenset[str] = frozenset()  # auxiliary ones that their machines no longer run
         self.outbox: list[Outgoing] = []
         self.role = Role.BACKUP
         self.primary: str | None = None  # of the epoch that this replica follows
@@ -110,6 +116,7 @@
         # while the primary
         self._peers: dict[str, Peer] = {}
         self._lease = Lease(identity, self.timing)
+        self._commit_rule = self._new_commit_rule()
         self._history = History(INITIAL_POSITION)
         self._epoch_first_version = 0  # first version of this primary's epoch
         self._group_change_version = 0  # of the latest group change; earlier epochs' are committed
@@ -192,6 +199,12 @@
         """On the primary: how many losses the group bears."""
         return health(self._group_view(now), self._size) if self.leads(now) else None
 
+    def auxiliary_shortage(self, now: float) -> int:
+        """On the primary: how many auxiliary replicas the group lacks."""
+        if not self.leads(now):
+            return 0
+        return shortage(self._group_view(now), self._size)
+
     # --- input from the driver ---
 
     def bootstrap(self, members: Iterable[str]) -> None:
@@ -240,7 +253,7 @@
             if peer.sent_position == previous:
                 self._send(identity, self._make_replicate(now, peer, previous, [update]))
                 peer.sent_position = update.position
-        self._advance_committed()
+        self._advance_committed(now)
         return update.position
 
     def resign(self, now: float) -> None:
@@ -255,9 +268,7 @@
         """
         if self.role is not Role.PRIMARY or self._transfer_deadline is not None:
             return False
-        eligible = [
-            i for i in sorted(self._members - {self.identity} - self._leaving()) if self._can_succeed(now, i)
-        ]
+        eligible = self._eligible_successors(now)
         if not eligible:
             return False
         highest_version = max(self._synced_version(identity) for identity in eligible)
@@ -268,6 +279,12 @@
         self._notify_successor()
         return True
 
+    def _eligible_successors(self, now: float) -> list[str]:
+        """The members that could lead next; auxiliary ones only if no other can."""
+        others = sorted(self._members - {self.identity} - self._leaving())
+        able = [member for member in others if self._can_succeed(now, member)]
+        return [member for member in able if not is_auxiliary(member)] or able
+
     def _can_succeed(self, now: float, identity: str) -> bool:
         """Whether a member could lead once it has received the updates already sent to it."""
         peer = self._peers.get(identity)
@@ -276,6 +293,8 @@
         return now - peer.last_heard_at < self.timing.lease
 
     def _synced_version(self, identity: str) -> int:
+        if identity == self.identity:
+            return self.position.version
         peer = self._peers.get(identity)
         return peer.synced_position.version if peer is not None and peer.synced_position is not None else 0
 
@@ -305,6 +324,8 @@
         if now - confirmed_at > 2 * self.timing.election_timeout_min:
             self._step_down(now)
             return
+        if self.committed < self.position.version:
+            self._advance_committed(now)  # a member that it waited for may be silent by now
         self._maintain_membership(now)
 
     def _abandon_transfer(self, now: float) -> None:
@@ -454,9 +475,11 @@
     # --- witness and candidate ---
 
     def _election_timeout(self, now: float) -> float:
+        delay = self.timing.auxiliary_election_delay if self.auxiliary else 0.0
         if self._recently_started(now) and self.primary is None:
-            return self.timing.initial_election_timeout * (0.5 + self._rng.random())
-        return self.timing.election_timeout_min + self.timing.election_timeout_spread * self._rng.random()
+            return delay + self.timing.initial_election_timeout * (0.5 + self._rng.random())
+        spread = self.timing.election_timeout_spread * self._rng.random()
+        return delay + self.timing.election_timeout_min + spread
 
     def _witness_view(self, now: float) -> WitnessView:
         since_primary_message_s = None if self.primary is None else now - self._primary_message_at
@@ -549,6 +572,7 @@
         self._transfer_deadline = None
         self._peers = {i: Peer(now) for i in (self._members | self._learners) - {self.identity}}
         self._lease = Lease(self.identity, self.timing)
+        self._commit_rule = self._new_commit_rule()
         self._history = History(self.position)
         self._epoch_first_version = self._group_change_version = self.position.version + 1
         self._committed_at_heartbeats = (self._epoch_first_version, self._epoch_first_version)
@@ -557,6 +581,9 @@
         # An empty update commits the writes of earlier epochs and starts this one.
         self.propose(now, [])
 
+    def _new_commit_rule(self) -> CommitRule:
+        return CommitRule(tolerated_losses(self._size.min_live) + 1, self.timing.replace_after)
+
     def _step_down(self, now: float) -> None:
         self.role = Role.BACKUP
         self.primary = None
@@ -602,7 +629,7 @@
         if self._is_known_state(message.position):
             peer.synced_position = message.position
             peer.snapshot_transfer = None
-            self._advance_committed()
+            self._advance_committed(now)
             self._notify_successor()
         elif peer.snapshot_transfer is not None:
             self._continue_snapshot(now, sender, peer, peer.snapshot_transfer, message)
@@ -630,7 +657,7 @@
         peer.sent_position = self.position
         if missing:
             self._send(identity, self._make_replicate(now, peer, reply.position, missing))
-        self._advance_committed()
+        self._advance_committed(now)
 
     def _merged_changes_since(self, position: Position) -> list[Update] | None:
         """One update from a position of an earlier epoch to the current one; None if it is not known."""
@@ -667,19 +694,26 @@
             )
             self._send(identity, message)
 
-    def _advance_committed(self) -> None:
-        """Advance `committed` to the version that a majority of the members has synced.
+    def _advance_committed(self, now: float) -> None:
+        """Advance `committed` to the newest version that has enough copies.
 
         Another primary may still overwrite a write of an earlier epoch that a majority has synced; it is
         committed only together with a later write of this epoch.
         """
-        versions = [self.position.version] if self.identity in self._members else []
-        versions += [self._synced_version(identity) for identity in self._members - {self.identity}]
-        versions.sort(reverse=True)
-        needed = majority(len(self._members))
-        majority_version = versions[needed - 1] if len(versions) >= needed else 0
-        if self._is_committed_by_majority(majority_version):
-            self.committed = max(self.committed, majority_version)
+        if not self._members:
+            return
+        version = self._commit_rule.committed_version(
+            now, [self._synced_version(member) for member in self._members], self._live_member_count(now)
+        )
+        if self._is_committed_by_majority(version):
+            self.committed = max(self.committed, version)
+
+    def _live_member_count(self, now: float) -> int:
+        """The number of members that reply and whose disk is not known to be lost."""
+        return sum(
+            member not in self._replaced and not self._is_silent(now, member, self.timing.replace_after)
+            for member in self._members
+        )
 
     def _is_committed_by_majority(self, version: int) -> bool:
         """Whether a version synced by a majority is thereby committed."""
@@ -692,6 +726,7 @@
 
     def _group_view(self, now: float) -> GroupView:
         silent = {i for i in self._members if self._is_silent(now, i, self.timing.replace_after)}
+        absent = {i for i in silent if self._is_silent(now, i, self.timing.absent_after)}
         return GroupView(
             identity=self.identity,
             members=self._members,
@@ -701,6 +736,8 @@
             silent=frozenset(silent),
             synced=self.synced,
             heard=lambda identity: not self._is_silent(now, identity, self.timing.lease),
+            absent=frozenset(absent),
+            withdrawn=self.withdrawn,
         )
 
     def _may_change_members(self, now: float) -> bool:
@@ -730,9 +767,14 @@
             return
         if needs_learner(view, self._learners, self._size):
             self._add_learner(now, view)
-        if self.identity in view.leaving and len(view.live) >= self._size.min_live:
+        leaves = self.identity in view.leaving and len(view.live) >= self._size.min_live
+        if leaves or self._can_yield(now):
             self.transfer_leadership(now)
 
+    def _can_yield(self, now: float) -> bool:
+        """Whether this replica is auxiliary and another member could lead in its place."""
+        return self.auxiliary and any(not is_auxiliary(member) for member in self._eligible_successors(now))
+
     def _next_format(self, view: GroupView) -> int | None:
         """The format that the group may be raised to: every member, including silent ones, can read it."""
         others = view.members - {self.identity}
@@ -744,7 +786,8 @@
         return peer.readable_format if peer is not None else FIRST_FORMAT
 
     def _add_learner(self, now: float, view: GroupView) -> None:
-        learner = next_learner(view, self._learners, self.join_candidates, self._learner_failed_at)
+        recruits = lacks_auxiliary(view, self._learners, self._size)
+        learner = next_learner(view, self._learners, self.join_candidates, self._learner_failed_at, recruits)
         if learner is not None:
             self._learners.add(learner)
             self._peers[learner] = Peer(now)
--- a/eiderhub/coordination/roster.py
+++ b/eiderhub/coordination/roster.py
@@ -6,16 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
 
 from eiderhub.coordination.replication import Replica, Role
 
+RECRUIT_INTERVAL_S = 1.0  # after which one more auxiliary replica is tried, if the group still lacks one
+
 
 def address_of(identity: str) -> str:
     """The address at which the replica with this identity listens."""
     return identity.partition("@")[2]
 
 
+def host_of(identity: str) -> str:
+    """The host on which the replica with this identity runs."""
+    return address_of(identity).rpartition(":")[0]
+
+
 class Roster:
     """What a replica's driver knows about the other replicas."""
 
@@ -24,10 +32,17 @@
         self.retired_nodes: frozenset[str] = frozenset()  # machines that must leave permanently
         self.prefers_same_zones = False  # whether to place members in few zones rather than in many
         self.retirements_known = True  # whether the retirements above are known to be complete
+        self.offers: Mapping[str, str] = {}  # auxiliary replicas that may be recruited, with their zones
+        self.withdrawn: frozenset[str] = frozenset()  # auxiliary members that their machines no longer run
+        self._short_since: float | None = None  # when the group began to lack auxiliary replicas
         self._identity_at: dict[str, str] = {}  # connected identities by address
         self._node_names: dict[str, str] = {}  # by identity
         self._zones = {identity: zone}
 
+    def forget_auxiliaries(self) -> None:
+        """Discard what an earlier epoch knew of auxiliary replicas, which is too old to act on."""
+        self.offers, self.withdrawn, self._short_since = {}, frozenset(), None
+
     def add_replica(self, identity: str, name: str, zone: str) -> None:
         """Another replica has introduced itself; it replaces any earlier replica at its address."""
         self._identity_at[address_of(identity)] = identity
@@ -48,6 +63,7 @@
         """Pass a primary the replicas that may join and those that must leave."""
         if replica.role is not Role.PRIMARY:
             return
+        replica.withdrawn = self.withdrawn
         retiring = self.retiring(replica.members)
         for identity in retiring:
             replica.mark_retiring(identity)
@@ -77,3 +93,20 @@
         return sorted(
             eligible, key=lambda i: ((self._zones.get(i, "") in covered_zones) != self.prefers_same_zones, i)
         )
+
+    def recruits(self, now: float, replica: Replica) -> list[str]:
+        """The auxiliary replicas to connect to, so that they can join the group of this primary.
+
+        Those in zones with the fewest members come first. Some may be out of reach or full, so more are tried
+        as time passes.
+        """
+        lacking = replica.auxiliary_shortage(now)
+        if not lacking:
+            self._short_since = None
+            return []
+        if self._short_since is None:
+            self._short_since = now
+        lacking += int((now - self._short_since) / RECRUIT_INTERVAL_S)
+        members_in = Counter(self._zones.get(member, "") for member in replica.members)
+        outsiders = [identity for identity in self.offers if identity not in replica.members]
+        return sorted(outsiders, key=lambda i: members_in[self.offers[i]])[:lacking]
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -31,11 +31,13 @@
 )
 from eiderhub.control.platform import PlatformReader, PlatformUnavailable
 from eiderhub.control.publication import Publication
+from eiderhub.control.retirement import RetireOrder
 from eiderhub.control.sessions import SIDECAR_ROLE, SessionTable
 from eiderhub.control.spending import LEASED_PREFIX, SpendingLedger, capped_tenants
 from eiderhub.control.stored_endpoints import endpoint_list_writes, initial_endpoint_list
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.messages import Write
-from eiderhub.coordination.roster import address_of
+from eiderhub.coordination.roster import address_of, host_of
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.coordination.wire import OWN_SUPPORT
 from eiderhub.programs.operator_service import OperatorService
@@ -189,7 +191,7 @@
 
     def _primary_address(self) -> list[str]:
         primary = self.group.replica.primary
-        if primary is None or primary == self._node.identity:
+        if primary is None or primary == self._node.identity or is_auxiliary(primary):
             return []
         return [address_of(primary)]
 
@@ -218,6 +220,7 @@
             self._leading_since = now
             self._last_version_number = 0
             self._storage_group.begin_epoch()
+            self.group.roster.forget_auxiliaries()
             log.info("leads epoch %d from version %d", replica.epoch, replica.position.version)
             self._restore_sessions()
             self._restore_endpoints()
@@ -305,13 +308,28 @@
             await asyncio.sleep(PUBLISH_INTERVAL_S)
             try:
                 if self._leads() and self._now() - self._leading_since > SESSION_RECONNECT_GRACE_S:
-                    await self._storage_group.update(self._storage_nodes(), self.operator.retire_orders())
+                    orders = self.operator.retire_orders()
+                    self._update_auxiliaries(orders)
+                    await self._storage_group.update(self._storage_nodes(), orders)
                     await self.group.commit(self._publish_nodes)
             except (NotPrimary, CommitOutcomeUnknown):
                 pass
             except Exception as error:  # the task must go on, or new nodes would not be published
                 log.error("could not publish nodes: %r", error)
 
+    def _update_auxiliaries(self, orders: Mapping[str, RetireOrder]) -> None:
+        """Pass the group the auxiliary replicas that storage nodes offer, no longer run or must give up."""
+        roster, nodes = self.group.roster, self._storage_nodes()
+        retiring = retirement.retiring_hosts(orders)
+        founders = set(self._storage_group.founding_members())
+        # Machines without batch state come first: they have less to do.
+        offering = sorted((n for n in nodes if n.auxiliary), key=lambda n: (n.identity in founders, n.name))
+        roster.offers = {n.auxiliary: n.zone for n in offering if host_of(n.auxiliary) not in retiring}
+        silent_hosts = {host_of(n.identity) for n in nodes if not n.auxiliary}
+        members = [member for member in self.group.replica.members if is_auxiliary(member)]
+        roster.withdrawn = frozenset(m for m in members if host_of(m) in silent_hosts)
+        roster.retired = frozenset(i for i in [*members, *roster.offers] if host_of(i) in retiring)
+
     def _publish_nodes(self) -> list[Write]:
         """Publish the node list if it has changed; return the writes that restore it at the next primary."""
         nodes = self._session_table.named_nodes(self._now())
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -17,6 +17,7 @@
 from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.control.messages import NodeRecord
 from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.timing import tolerated_losses
 from eiderhub.storage.store import LmdbStore
@@ -103,7 +104,7 @@
 
     def _redirect(self, call: Call) -> Reply:
         primary = self._group.replica.primary
-        if primary is None or primary == self._node.identity:
+        if primary is None or primary == self._node.identity or is_auxiliary(primary):
             return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
         host = address.parse_host_port(address_of(primary)).host
         return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{self._control_port}{call.path}")
--- a/eiderhub/programs/settings.py
+++ b/eiderhub/programs/settings.py
@@ -37,6 +37,7 @@
     last_port: int
     seeds: list[str]
     bootstrap: bool
+    counts_for_quorum: bool  # whether `fault_tolerance` covers the loss of this machine
     data_dir: str
     disk_mb: float
     memory_mb: float
@@ -132,6 +133,7 @@
         last_port=int(ports[1]),
         seeds=reader.get_value("seeds", list, []),
         bootstrap=reader.get_value("bootstrap", bool, False),
+        counts_for_quorum=reader.get_value("counts_for_quorum", bool, True),
         data_dir=reader.get_value("data_dir", str, ""),
         disk_mb=reader.get_value("limits.disk_mb", float, 64.0),
         memory_mb=reader.get_value("limits.memory_mb", float, 300.0),
--- a/eiderhub/programs/storage.py
+++ b/eiderhub/programs/storage.py
@@ -1,4 +1,4 @@
-"""The storage program: a replica of the batch state."""
+"""The storage program: a replica of the batch state, and an auxiliary replica of the control state."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from eiderhub.control.messages import NodeRecord
 from eiderhub.coordination.wire import WIRE_VERSION
 from eiderhub.programs import startup
+from eiderhub.programs.auxiliary_service import start_auxiliary
 from eiderhub.programs.replica_host import open_store
 from eiderhub.programs.settings import TierSettings
 from eiderhub.programs.storage_service import StorageService
@@ -26,12 +27,20 @@
     port = settings.first_port + PORT_OFFSET
     identity = f"{uuid.uuid4().hex[:10]}@{settings.ip}:{port}"
     store = open_store(settings, identity)
-    node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity, WIRE_VERSION)
+    auxiliary = await start_auxiliary(settings)
+    offered = auxiliary.identity if auxiliary is not None else ""
+    node = NodeRecord(settings.node_name, "storage", settings.zone, store.identity, WIRE_VERSION, offered)
     service = StorageService(settings, store, node)
     await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
-    await serve_metrics(service.metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
+
+    def metrics() -> list[str]:
+        return service.metrics() + (auxiliary.metrics() if auxiliary is not None else [])
+
+    await serve_metrics(metrics, settings.ip, settings.last_port - METRICS_PORT_OFFSET)
     await stop.wait()
     log.info("stops")
+    if auxiliary is not None:
+        await auxiliary.stop()
     await service.stop()
     store.close()
 
--- a/eiderhub/programs/storage_group.py
+++ b/eiderhub/programs/storage_group.py
@@ -11,7 +11,9 @@
 from eiderhub.control import retirement
 from eiderhub.control.messages import NodeRecord, StorageReport
 from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.messages import Write
+from eiderhub.coordination.roster import host_of
 from eiderhub.programs.operator_service import STORAGE_IDENTITY_PREFIX
 from eiderhub.storage.store import LmdbStore
 from eiderhub.transport.group import GroupDriver
@@ -77,10 +79,19 @@
         report, self.report = self.report, None
         for name, order in orders.items():
             next_order = retirement.next_state(name, order, nodes, report)
+            if next_order.done and self._has_control_member(order):
+                continue
             if next_order != order:
                 await self._group.write([retirement.encode_order(name, next_order)])
                 log.info("retirement of %s: %s", name, "done" if next_order.done else "new disk identity")
 
+    def _has_control_member(self, order: RetireOrder) -> bool:
+        """Whether the control group may still have a member on the machine, or lack a copy on another."""
+        replica, hosts = self._group.replica, retirement.retiring_hosts({"": order})
+        if any(is_auxiliary(member) and host_of(member) in hosts for member in replica.members):
+            return True
+        return not replica.membership_committed(self._group.now())
+
     async def _record_identities(self, nodes: list[NodeRecord]) -> None:
         writes = [
             Write(STORAGE_IDENTITY_PREFIX + n.name, n.identity.encode())
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -23,7 +23,7 @@
 STORE_VERSION = 1
 FILE_NAME = "replica.lmdb"
 MAP_SHARE_OF_DISK = 0.9  # part of `disk_mb` for the LMDB map, which holds the state and a staged snapshot
-MIN_MAP_BYTES = 8 << 20
+MIN_MAP_BYTES = 4 << 20
 UNLIMITED_BYTES = 1 << 40
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
 REOPEN_INTERVAL_S = 1.0  # between attempts to reopen a store after a disk failure
@@ -54,6 +54,7 @@
         identity: str = "",
         read_only: bool = False,
         readable_format: int = OWN_FORMATS.reads,
+        file_name: str = FILE_NAME,
     ) -> None:
         """Open the store in `folder`, or create it with `identity`; an existing store keeps its identity.
 
@@ -63,7 +64,7 @@
         Raises:
             StoreUnusable: there is no store to read, or it cannot be opened or is not supported.
         """
-        path = self._path = folder / FILE_NAME
+        path = self._path = folder / file_name
         self._readable_format = readable_format
         self._failure: str | None = None  # error of the disk failure that has not been recovered from
         self._next_reopen_at = 0.0
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -262,6 +262,8 @@
     def update_members(self) -> None:
         for member in self.replica.members:
             self.ensure_link(address_of(member))
+        for identity in self.roster.recruits(self.now(), self.replica):
+            self.ensure_link(address_of(identity))
         self.roster.update_replica(self.replica)
 
     def flush(self) -> None:
--- a/tests/items_support.py
+++ b/tests/items_support.py
@@ -202,7 +202,8 @@
     """Settings of a node without peers."""
     return TierSettings(
         node_name=f"{role}-0", role=role, ip="127.0.0.1", zone="z0", region="r", zones={}, frontend="",
-        readiness="", control="", first_port=1, last_port=2, seeds=[], bootstrap=True, data_dir=str(folder),
+        readiness="", control="", first_port=1, last_port=2, seeds=[], bootstrap=True,
+        counts_for_quorum=True, data_dir=str(folder),
         disk_mb=8.0, memory_mb=100.0, platform_address="", drain_ms=1000.0, grace_s=8.0, status_ttl_s=120.0,
         fault_tolerance=0, zone_fault_tolerance=0, link_mbps=600.0, catch_up_s=4.7,
     )  # fmt: skip
--- a/tests/model/members.py
+++ b/tests/model/members.py
@@ -22,6 +22,7 @@
     SessionPong,
 )
 from eiderhub.control.publication import Publication
+from eiderhub.coordination.auxiliary import auxiliary_identity
 from eiderhub.coordination.forms import RecordFormats
 from eiderhub.coordination.messages import REPLICA_MESSAGES
 from eiderhub.coordination.replication import Replica, Role
@@ -38,8 +39,9 @@
 class Machine:
     """A machine that runs at most one replica process at a time."""
 
-    def __init__(self, world: Host, address: str, zone: str) -> None:
+    def __init__(self, world: Host, address: str, zone: str, auxiliary: bool = False) -> None:
         self.world = world
+        self.auxiliary = auxiliary  # whether it runs an auxiliary replica in place of a control node
         self.address = address
         self.name = f"machine-{address}"
         self.zone = zone
@@ -79,7 +81,12 @@
         self.powered = True
         if not self.identity:  # each new disk gets a new identity
             self.identity_count += 1
-            self.identity = f"id{self.identity_count}@{self.address}"
+            unique_name = f"id{self.identity_count}"
+            self.identity = (
+                auxiliary_identity(unique_name, self.address)
+                if self.auxiliary
+                else f"{unique_name}@{self.address}"
+            )
         self.process = Process(self)
 
     def kill(self) -> None:
@@ -204,13 +211,21 @@
 
     def tick(self) -> None:
         """Connect to the other machines and advance the replica."""
+        known = self._known_addresses()
         for address, machine in self.world.machines.items():
             if machine is not self.machine and not machine.removed:
-                self._connect(address, machine)
+                if address in known or not (machine.auxiliary or self.machine.auxiliary):
+                    self._connect(address, machine)
         self.roster.update_replica(self.replica)
         self.replica.tick(self.machine.now)
         self.after_step()
 
+    def _known_addresses(self) -> set[str]:
+        """The machines that it connects to besides all control nodes, which know each other by the seeds."""
+        recruits = self.roster.recruits(self.machine.now, self.replica)
+        identities = {*self.replica.members, *recruits, *self._peer_identities.values()}
+        return {address_of(identity) for identity in identities}
+
     def _connect(self, address: str, machine: Machine) -> None:
         link = self._links.get(address)
         if link is not None:
@@ -287,8 +302,9 @@
             self._send(address_of(outgoing.recipient), outgoing.message)
         for answer in self.change_processor.step(self.machine.now):
             self.world.on_answer(answer)
-        self.publication.begin_epoch(self.machine.now)
-        self.publication.publish_newest(self.machine.now)
+        if not self.machine.auxiliary:
+            self.publication.begin_epoch(self.machine.now)
+            self.publication.publish_newest(self.machine.now)
         if replica.role is Role.PRIMARY:
             self.world.on_primary_step(self)
         if replica.outbox:
--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -16,7 +16,7 @@
 from eiderhub.control.change_processor import ChangeOutcome, ChangeProcessor, ChangeResult
 from eiderhub.control.messages import SessionPong
 from eiderhub.control.publication import Publication
-from eiderhub.coordination import membership, witness
+from eiderhub.coordination import commit_rule, membership, witness
 from eiderhub.coordination.commits import CommitQueue
 from eiderhub.coordination.lease import Lease
 from eiderhub.coordination.replication import Replica, Role
@@ -128,6 +128,10 @@
     return all(bool(view.synced(member)) for member in view.live)
 
 
+def _more_than_needed(view: Any, size: Any) -> bool:
+    return len(view.live) > size.min_live and _all_synced(view, size)
+
+
 def _connected(view: Any, learner: str) -> bool:
     return learner not in view.leaving and bool(view.heard(learner))
 
@@ -329,6 +333,30 @@
         "disks_lost_in_turn",
         ((membership, "removable_dead", _always(frozenset())),),
     ),
+    PlantedFault(
+        "a group that is too small recruits no auxiliary replica",
+        3,
+        "losses_together",
+        ((Roster, "recruits", _always([])),),
+    ),
+    PlantedFault(
+        "an auxiliary primary does not yield",
+        3,
+        "losses_together",
+        ((Replica, "_can_yield", _always(False)),),
+    ),
+    PlantedFault(
+        "an auxiliary replica is surplus though a member has just been lost",
+        3,
+        "auxiliary_stays_while_a_member_is_unheard",
+        ((membership, "has_surplus", _more_than_needed),),
+    ),
+    PlantedFault(
+        "a group that is too small commits with a majority alone",
+        3,
+        "small_group_commits_with_more_copies_than_may_be_lost",
+        ((commit_rule.CommitRule, "_copies", lambda self, quorum, live: quorum),),
+    ),
     PlantedFault(
         "a learner is admitted before it is synced",
         3,
--- a/tests/model/traces.py
+++ b/tests/model/traces.py
@@ -9,8 +9,10 @@
 from eiderhub.control.messages import NodeRecord, StorageReport
 from eiderhub.control.retirement import RetireOrder
 from eiderhub.coordination import membership
+from eiderhub.coordination.auxiliary import auxiliary_identity
+from eiderhub.coordination.commit_rule import CommitRule
 from eiderhub.coordination.commits import CommitOutcome, CommitQueue
-from eiderhub.coordination.membership import GroupView
+from eiderhub.coordination.membership import GroupView, next_change
 from eiderhub.coordination.messages import (
     EpochAnswer,
     Position,
@@ -124,6 +126,29 @@
     assert not membership.may_remove(behind, GroupSize(None, 3))
 
 
+def small_group_commits_with_more_copies_than_may_be_lost() -> None:
+    """Two disks may be lost at once, and two of the three members have synced version 7."""
+    rule = CommitRule(3, patience_s=1.5)
+    assert rule.committed_version(10.0, [7, 7, 4], live=3) == 4
+    assert rule.committed_version(11.0, [8, 7, 4], live=3) == 4
+    assert rule.committed_version(11.2, [8, 7, 7], live=3) == 7  # it has caught up, and the wait starts anew
+    assert rule.committed_version(12.8, [9, 9, 7], live=3) == 7
+    assert rule.committed_version(14.4, [10, 9, 7], live=3) == 9  # the third stays behind for too long
+    assert rule.committed_version(14.5, [11, 11, 7], live=2) == 11  # it is silent
+    assert rule.committed_version(14.6, [12, 12, 12, 7, 7], live=5) == 12
+
+
+def auxiliary_stays_while_a_member_is_unheard() -> None:
+    """Four members where three are needed; the auxiliary one may go only if all four are surely live."""
+    auxiliary = auxiliary_identity("s", "g:3")
+    members = frozenset([*MEMBERS, auxiliary])
+    complete = _view(members=members, silent=frozenset())
+    unheard = complete._replace(heard=lambda identity: identity != "c@3")
+    assert next_change(unheard, [], GroupSize(None, 3)) is None
+    change = next_change(complete, [], GroupSize(None, 3))
+    assert change is not None and change.members == frozenset(MEMBERS)
+
+
 def barred_replica_is_never_admitted() -> None:
     barred = _view(barred=frozenset({"e@5"}))
     assert membership.may_admit(_view(), "e@5")
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -11,6 +11,7 @@
 from eiderhub.control.change_processor import ChangeResult
 from eiderhub.control.messages import NodeRecord, StorageReport
 from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.auxiliary import is_auxiliary
 from eiderhub.coordination.forms import FORMAT_KEY, OWN_FORMATS, decode_format
 from eiderhub.coordination.messages import Position
 from eiderhub.coordination.replication import Role
@@ -33,6 +34,7 @@
     machines: int
     members: int  # number of initial members
     size: GroupSize
+    auxiliaries: int = 0  # number of further machines that offer an auxiliary replica
 
 
 CONTROL = Shape(4, 3, GroupSize(None, 3))  # a control group: every machine becomes a member
@@ -43,6 +45,18 @@
 CONTROL_TOO_SMALL = Shape(4, 3, GroupSize(None, 5))
 SMALLEST_CONTROL_TOO_SMALL = Shape(3, 3, GroupSize(None, 5))
 STORAGE_TOO_SMALL = Shape(4, 4, GroupSize(5, 5))
+# Two losses at once are to be borne: three, four, five and seven zones with a control node each.
+CONTROL_OF_THREE_FOR_TWO = Shape(3, 3, GroupSize(None, 5), 6)
+CONTROL_OF_FOUR_FOR_TWO = Shape(4, 3, GroupSize(None, 5), 5)
+CONTROL_OF_FIVE_FOR_TWO = Shape(5, 3, GroupSize(None, 5), 5)
+CONTROL_OF_SEVEN_FOR_TWO = Shape(7, 3, GroupSize(None, 5), 5)
+CONTROL_OF_TWO = Shape(2, 2, GroupSize(None, 3), 4)  # one loss, two zones
+STORAGE_FOR_TWO = Shape(7, 5, GroupSize(5, 5))  # two spares
+STORAGE_WITHOUT_SPARES = Shape(5, 5, GroupSize(5, 5))
+LARGER_SHAPES = (
+    CONTROL_OF_THREE_FOR_TWO, CONTROL_OF_FOUR_FOR_TWO, CONTROL_OF_FIVE_FOR_TWO, CONTROL_OF_SEVEN_FOR_TWO,
+    CONTROL_OF_TWO, STORAGE_FOR_TWO, STORAGE_WITHOUT_SPARES,
+)  # fmt: skip
 
 
 class World:
@@ -73,6 +87,8 @@
         self._addresses = 0
         for _ in range(shape.machines):
             self.add_machine()
+        for _ in range(shape.auxiliaries):
+            self.add_machine(auxiliary=True)
         for machine in self.machines.values():
             machine.start()
         founders = [m.identity for m in list(self.machines.values())[: shape.members]]
@@ -90,18 +106,20 @@
         ]
         self.update_machine_lists()
         self.timeline.after(REPORT_INTERVAL_S, self._report)
+        if shape.auxiliaries:
+            self._offer_auxiliaries()
 
-    def add_machine(self) -> Machine:
+    def add_machine(self, auxiliary: bool = False) -> Machine:
         """Add a machine that is not started yet, at a new address and in the next zone."""
         address = f"m{self._addresses}"
-        machine = Machine(self, address, f"z{self._addresses % ZONES}")
+        machine = Machine(self, address, f"z{self._addresses % ZONES}", auxiliary)
         self._addresses += 1
         self.machines[address] = machine
         return machine
 
     def update_machine_lists(self) -> None:
         """Give operators, sidecars and the reader the current list of machines."""
-        present = [m for m in self.machines.values() if not m.removed]
+        present = [m for m in self.machines.values() if not m.removed and not m.auxiliary]
         for operator in self.operators:
             operator.machines = present
         for sidecar in self.sidecars:
@@ -118,7 +136,7 @@
     # --- invariants ---
 
     def leaders(self) -> list[Process]:
-        """Return the processes that may answer as the primary now."""
+        """Return the processes that lead now; an auxiliary one answers nobody."""
         leaders = []
         for machine in self.machines.values():
             process = machine.process
@@ -183,7 +201,9 @@
             return False
         replica = leaders[0].replica
         running = {m.identity for m in self.machines.values() if m.process is not None}
-        wanted = len(running - replica.barred)
+        wanted = len({i for i in running if not is_auxiliary(i)} - replica.barred)
+        if len(running) > wanted:
+            wanted = max(wanted, min(len(running), self.size.min_live))
         if self.size.target is not None:
             wanted = min(wanted, self.size.target)
         members = replica.members & running
@@ -209,6 +229,13 @@
                 self.timeline.after(self.rng.uniform(0.0, 0.4), partial(self._apply_report, report))
         self.timeline.after(REPORT_INTERVAL_S, self._report)
 
+    def _offer_auxiliaries(self) -> None:
+        """Tell leaders which auxiliary replicas run, as the sessions of their machines do."""
+        offers = {m.identity: m.zone for m in self.machines.values() if m.auxiliary and m.process is not None}
+        for process in self.leaders():
+            process.roster.offers = offers
+        self.timeline.after(REPORT_INTERVAL_S, self._offer_auxiliaries)
+
     def _apply_report(self, report: StorageReport) -> None:
         nodes = [
             NodeRecord(m.name, "storage", m.zone, m.identity)
@@ -254,13 +281,13 @@
             machine.start()
 
     def leader(self) -> Machine | None:
-        """Return the machine of the first leader, or None."""
-        leaders = self.leaders()
-        return leaders[0].machine if leaders else None
+        """Return the control node that leads, or None."""
+        serving = [process.machine for process in self.leaders() if not process.machine.auxiliary]
+        return serving[0] if serving else None
 
     def replace(self, machine: Machine) -> Machine:
         """Remove a machine permanently; add an empty one at another address."""
         machine.remove()
-        replacement = self.add_machine()
+        replacement = self.add_machine(machine.auxiliary)
         self.update_machine_lists()
         return replacement
--- /dev/null
+++ b/tests/test_auxiliary.py
@@ -0,0 +1,126 @@
+"""Auxiliary replicas of the control group: recruits, retirement, and the real programs."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+
+import pytest
+
+from eiderhub.control import retirement
+from eiderhub.control.retirement import RetireOrder
+from eiderhub.coordination.auxiliary import auxiliary_identity, is_auxiliary
+from eiderhub.coordination.membership import GroupView, next_change, next_learner
+from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.roster import RECRUIT_INTERVAL_S, Roster
+from eiderhub.coordination.timing import GroupSize
+from eiderhub.storage.store import MemoryStore
+from tests.tier_support import Tier, document, wait_until
+
+FOR_TWO_LOSSES = GroupSize(None, 5)
+CONTROL = [f"c{n}@h{n}:1" for n in range(3)]
+AUXILIARY = [auxiliary_identity(f"s{n}", f"g{n}:3") for n in range(4)]
+
+
+def view(
+    members: list[str], silent: list[str] | None = None, withdrawn: list[str] | None = None
+) -> GroupView:
+    return GroupView(
+        CONTROL[0], frozenset(members), frozenset(), frozenset(), frozenset(), frozenset(silent or ()),
+        lambda identity: True, lambda identity: True, withdrawn=frozenset(withdrawn or ()),
+    )  # fmt: skip
+
+
+def test_recruits_are_spread_over_zones_and_more_are_tried_as_time_passes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a group that waits for one auxiliary replica which cannot be reached."""
+    replica = Replica(CONTROL[0], MemoryStore(), 0.0, random.Random(1), FOR_TWO_LOSSES)
+    replica.bootstrap(CONTROL[:2])
+    monkeypatch.setattr(replica, "auxiliary_shortage", lambda now: 1)
+    roster = Roster(CONTROL[0], "z0")
+    roster.add_replica(CONTROL[1], "c1", "z1")
+    roster.offers = dict(zip(AUXILIARY, ("z0", "z1", "z2", "z1"), strict=True))
+    assert roster.recruits(10.0, replica) == [AUXILIARY[2]]
+    assert roster.recruits(10.0 + RECRUIT_INTERVAL_S, replica) == [AUXILIARY[2], AUXILIARY[0]]
+    monkeypatch.setattr(replica, "auxiliary_shortage", lambda now: 0)
+    assert roster.recruits(12.0, replica) == []
+
+
+def test_auxiliary_candidate_joins_only_if_the_group_lacks_one() -> None:
+    candidates = [AUXILIARY[0], CONTROL[2]]
+    assert next_learner(view(CONTROL[:2]), [], candidates, {}, recruits=True) == CONTROL[2]
+    assert next_learner(view(CONTROL), [], candidates, {}, recruits=True) == AUXILIARY[0]
+    assert next_learner(view(CONTROL), [], candidates, {}, recruits=False) is None
+
+
+def test_silent_auxiliary_leaves_a_small_group_only_if_its_machine_runs_it_no_more() -> None:
+    """Guards against a group that is left without a majority when storage programs are put back."""
+    members = [*CONTROL, *AUXILIARY[:2]]
+    assert next_change(view(members, AUXILIARY[:2]), [], FOR_TWO_LOSSES) is None
+    change = next_change(view(members, AUXILIARY[:2], AUXILIARY[:2]), [], FOR_TWO_LOSSES)
+    assert change is not None and change.members == frozenset({*CONTROL, AUXILIARY[1]})
+    assert next_change(view(members, [], AUXILIARY[:2]), [], FOR_TWO_LOSSES) is None
+
+
+def test_hosts_of_open_retirements() -> None:
+    orders = {"s1": RetireOrder(["x@10.0.0.1:2", "y@10.0.0.1:2"]), "s2": RetireOrder(["z@10.0.0.2:2"], True)}
+    assert retirement.retiring_hosts(orders) == frozenset({"10.0.0.1"})
+
+
+@pytest.fixture
+def tier(tmp_path: Path) -> Tier:
+    return Tier(tmp_path, storage=6, edges=1, tolerated_losses=2)
+
+
+def group_members(tier: Tier) -> list[str]:
+    """The members of the control group, as its primary names them; none without a primary."""
+    for program in tier.with_role("control"):
+        if program.process is not None and program.process.poll() is None:
+            status, body, _ = tier.call(program, "control", "GET", "/status")
+            fields = json.loads(body) if status == 200 else {}
+            if fields.get("leads") and fields["losses_borne"] >= fields["losses_to_bear"]:
+                return list(fields["members"])
+    return []
+
+
+def test_two_of_three_control_nodes_lose_their_disks_at_once(tier: Tier) -> None:
+    """Guards against a control group whose only majority is the machines that are lost: review case 1."""
+    try:
+        tier.start()
+        assert tier.put_configuration(document(5), 0) == 200
+        wait_until(lambda: len(group_members(tier)) == 5, "a group that bears two losses")
+        assert tier.put_configuration(document(7), 5) == 200
+        primary = tier.primary("control")
+        lost = [primary, next(p for p in tier.with_role("control") if p is not primary)]
+        for program in lost:
+            program.lose_disk()
+        assert tier.configuration()["generation"] == 7
+        assert tier.put_configuration(document(8), 7) == 200
+        for program in lost:
+            program.start()
+        wait_until(
+            lambda: sum(not is_auxiliary(member) for member in group_members(tier)) == 3,
+            "the control nodes are members again",
+        )
+        wait_until(lambda: len(group_members(tier)) == 5, "the auxiliary members that are not needed left")
+    finally:
+        tier.close()
+
+
+def test_retiring_storage_node_leaves_the_control_group_first(tier: Tier) -> None:
+    """Guards against a machine that is taken away with one of the control group's copies."""
+    try:
+        tier.start()
+        assert tier.put_configuration(document(5), 0) == 200
+        members = wait_until(lambda: group_members(tier), "a group that bears two losses")
+        hosts = {member.partition("@")[2].partition(":")[0] for member in members if is_auxiliary(member)}
+        node = next(program for program in tier.with_role("storage") if program.ip in hosts)
+        path = f"/retire/{node.name}"
+        wait_until(lambda: tier.operator_call("POST", path)[0] == 200, "the order is taken")
+        wait_until(lambda: b"succeeded" in tier.operator_call("GET", path)[1], "the machine is empty")
+        members = wait_until(lambda: group_members(tier), "a group that bears two losses")
+        assert not [member for member in members if node.ip in member]
+    finally:
+        tier.close()
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -23,9 +23,9 @@
 FEW_RETAINED_ENTRIES = 1  # so that snapshots are needed often
 
 
-def set_small_sizes() -> None:
+def set_small_sizes(chunk_bytes: int = SMALL_CHUNK_BYTES) -> None:
     """Reduce the sizes of chunks and histories, so that small states need chunks and snapshots."""
-    setattr(replication, "CHUNK_BYTES", SMALL_CHUNK_BYTES)  # noqa: B010
+    setattr(replication, "CHUNK_BYTES", chunk_bytes)  # noqa: B010
     catch_up.HISTORY_UPDATES = FEW_HISTORY_UPDATES
     recent_changes.RETAINED_ENTRIES = FEW_RETAINED_ENTRIES
 
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -6,12 +6,14 @@
 
 import pytest
 
-from tests.model import named, schedules, traces
+from tests.model import losses, named, schedules, traces
 from tests.model.planted import FAULTS, PlantedFault
 from tests.test_five_points import CASES, play
+from tests.test_losses_model import set_loss_sizes
 from tests.test_model import set_small_sizes
 
 MAX_SEEDS = 150
+LOSS_SCHEDULES = {schedule.__name__: schedule for schedule in losses.LOSS_SCHEDULES}
 SHAPES = {schedule.__name__: shape for schedule, shape in CASES}
 
 
@@ -25,6 +27,9 @@
     if hasattr(traces, name):
         trace = getattr(traces, name)
         trace(*([fault.disk()] if inspect.signature(trace).parameters else []))
+    elif name in LOSS_SCHEDULES:
+        set_loss_sizes()
+        losses.play(seed, LOSS_SCHEDULES[name], disk=fault.disk)
     elif hasattr(named, name):
         play(getattr(named, name), SHAPES[name], seed, fault)
     else:
--- a/tests/test_wire_versions.py
+++ b/tests/test_wire_versions.py
@@ -152,7 +152,7 @@
 
 
 def test_unknown_fields_are_ignored_and_missing_fields_get_defaults() -> None:
-    body = {"type": "Hello", "node": ["n", "edge", "z", "", 2, "later"], "later": {"a": 1}}
+    body = {"type": "Hello", "node": ["n", "edge", "z", "", 2, "", "later"], "later": {"a": 1}}
     assert receive(encode_frame(body))[0] == [Hello(NodeRecord("n", "edge", "z", "", 2))]
     assert receive(encode_frame({"type": "Hello", "node": ["n", "edge", "z"]}))[0] == [
         Hello(NodeRecord("n", "edge", "z", "", 1), DEFAULT_SUPPORT)
--- a/tests/tier_support.py
+++ b/tests/tier_support.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -176,11 +177,22 @@
         self.ip = settings["ip"]
         self.file = folder / f"{self.name}.conf"
         self.log = folder / f"{self.name}.log"
-        self.file.write_text("".join(f"{key}={value}\n" for key, value in settings.items()))
+        self.settings = settings
+        self.write_settings()
         self.package_folder: Path | None = None  # folder with the packages to run; None: the code under test
         self.module = f"eiderhub.programs.{role}"
         self.process: subprocess.Popen[bytes] | None = None
 
+    def write_settings(self) -> None:
+        self.file.write_text("".join(f"{key}={value}\n" for key, value in self.settings.items()))
+
+    def lose_disk(self) -> None:
+        """Kill the process and empty its disk; the next start may not found a new group."""
+        self.stop()
+        shutil.rmtree(self.settings["data_dir"])
+        self.settings["bootstrap"] = "false"
+        self.write_settings()
+
     def start(self) -> None:
         environment = os.environ | {"OTTERCLEAT_CONFIG": str(self.file)}
         with self.log.open("ab") as log:
@@ -206,7 +218,12 @@
     """
 
     def __init__(
-        self, folder: Path, storage: int = 3, edges: int = 2, endpoints: list[Any] | None = None
+        self,
+        folder: Path,
+        storage: int = 3,
+        edges: int = 2,
+        endpoints: list[Any] | None = None,
+        tolerated_losses: int = 1,
     ) -> None:
         self.break_at_events: list[int] = []
         self.endpoints = (
@@ -236,7 +253,7 @@
                 "bootstrap": "true",
                 "data_dir": str(folder / f"data-{role}-{number}"),
                 "limits.disk_mb": "64",
-                "fault_tolerance.machines": "1",
+                "fault_tolerance.machines": str(tolerated_losses),
                 "bounds.grace_s": "8",
                 "cloud_api.address": self.platform.address,
             }
