Coordination: of two pre-votes that cross, one gives way

Cause: two replicas grant each other's pre-vote, both request the epoch with their own vote, and where all that are left must vote neither gets it.

Change: a replica whose own pre-vote is running refuses one of lower precedence, and abandons its own where it grants another.

A trace, seen red with the precedence planted out.

Why it works: crossing pre-votes no longer both lead to requests; pre-votes decide nothing, votes for epochs are unchanged.

--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -61,7 +61,7 @@
 )
 from eiderhub.coordination.store import INITIAL_POSITION, ReplicaStore, StoreFailed
 from eiderhub.coordination.timing import GroupSize, Timing, majority, tolerated_losses
-from eiderhub.coordination.witness import WitnessView, decide
+from eiderhub.coordination.witness import REFUSED, WitnessView, decide
 
 GROUP_STATE_KEYS = frozenset({MEMBERS_KEY, BARRED_KEY, FORMAT_KEY})
 
@@ -112,6 +112,7 @@
         self._votes: set[str] = set()
         self._members_without_leader: set[str] = set()  # that follow no primary and restarted recently
         self._pre_vote = False
+        self._pre_vote_ends_at = 0.0
         self._requested_epoch = 0
         # while the primary
         self._peers: dict[str, Peer] = {}
@@ -498,6 +499,7 @@
     ) -> None:
         """Request the next epoch from the witnesses; a pre-vote only asks whether they would grant it."""
         self._pre_vote = pre_vote
+        self._pre_vote_ends_at = now + self.timing.pre_vote_window
         self._requested_epoch = self.epoch + 1
         self._election_due_at = now + self._election_timeout(now)
         if not pre_vote:
@@ -513,9 +515,13 @@
 
     def _on_epoch_request(self, now: float, sender: str, message: RequestEpoch) -> None:
         decision = decide(self._witness_view(now), message, self.timing)
+        if message.trial and self._outranks(now, sender, message):
+            decision = REFUSED
         if decision.granted or decision.recently_started:
             # Where every remaining member must vote, two simultaneous candidates would block each other.
             self._election_due_at = now + self._election_timeout(now)
+            if self._pre_vote:
+                self._requested_epoch = 0  # abandons an own pre-vote that is running
         if decision.granted and not message.trial:
             if self.role is not Role.BACKUP:
                 self._step_down(now)
@@ -526,6 +532,17 @@
         )
         self._send(sender, answer)
 
+    def _outranks(self, now: float, sender: str, message: RequestEpoch) -> bool:
+        """Whether a pre-vote of this replica is running that takes precedence over the sender's.
+
+        Two replicas that grant each other's pre-vote both request the epoch, and neither gets all the votes.
+        """
+        is_running = (
+            self._pre_vote and now < self._pre_vote_ends_at and self._requested_epoch == message.epoch
+        )
+        own_rank = (self.position, not self.auxiliary, self.identity)
+        return is_running and own_rank > (message.position, not is_auxiliary(sender), sender)
+
     def _on_epoch_answer(self, now: float, sender: str, message: EpochAnswer) -> None:
         is_current = message.epoch == self._requested_epoch and message.trial == self._pre_vote
         if message.young and message.trial and is_current and self.role is Role.BACKUP:
--- a/eiderhub/coordination/timing.py
+++ b/eiderhub/coordination/timing.py
@@ -14,6 +14,7 @@
     election_timeout_spread: float = 0.25
     initial_election_timeout: float = 0.1  # mean, for a replica that started recently
     replace_after: float = 1.5  # a member that is silent for this long is replaced or removed
+    pre_vote_window: float = 0.15  # while answers to a pre-vote are expected
     absent_after: float = 4.0  # an auxiliary replica then takes the place of a silent member
     transfer_timeout: float = 1.5  # a planned transfer of leadership is abandoned after this long
     auxiliary_election_delay: float = 0.3  # added to the election timeouts of an auxiliary replica
--- a/eiderhub/coordination/witness.py
+++ b/eiderhub/coordination/witness.py
@@ -32,6 +32,9 @@
     recently_started: bool  # refused only because the replica started recently
 
 
+REFUSED = Decision(granted=False, recently_started=False)
+
+
 def is_recently_started(view: WitnessView, timing: Timing) -> bool:
     """Whether a lease that this replica confirmed before its start may still be valid."""
     return view.uptime_s < timing.lease
--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -357,6 +357,12 @@
         "small_group_commits_with_more_copies_than_may_be_lost",
         ((commit_rule.CommitRule, "_copies", lambda self, quorum, live: quorum),),
     ),
+    PlantedFault(
+        "two candidates grant each other's pre-vote",
+        3,
+        "simultaneous_candidates_do_not_block_each_other",
+        ((Replica, "_outranks", _always(False)),),
+    ),
     PlantedFault(
         "a learner is admitted before it is synced",
         3,
--- a/tests/model/traces.py
+++ b/tests/model/traces.py
@@ -22,7 +22,7 @@
     Update,
     Write,
 )
-from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.replication import Replica, Role
 from eiderhub.coordination.store import INITIAL_POSITION
 from eiderhub.coordination.timing import GroupSize
 from eiderhub.storage.store import MemoryStore
@@ -138,6 +138,27 @@
     assert rule.committed_version(14.6, [12, 12, 12, 7, 7], live=5) == 12
 
 
+def simultaneous_candidates_do_not_block_each_other() -> None:
+    """Two replicas whose pre-votes cross; where every remaining member must vote, one has to give way.
+
+    Guards against a group that has lost as many members as it bears, and finds no leader for seconds.
+    """
+    names = ["a@1", "b@2", "c@3", "d@4", "e@5"]
+    replicas = {name: Replica(name, MemoryStore(), 0.0, random.Random(1)) for name in names[:3]}
+    for replica in replicas.values():
+        replica.bootstrap(names)
+    for name in ("a@1", "b@2"):
+        replicas[name].tick(10.0)
+    for _ in range(8):
+        sent = [(name, each) for name, replica in replicas.items() for each in replica.outbox]
+        for replica in replicas.values():
+            replica.outbox = []
+        for sender, outgoing in sent:
+            if outgoing.recipient in replicas:
+                replicas[outgoing.recipient].receive(10.01, sender, outgoing.message)
+    assert [name for name, replica in replicas.items() if replica.role is Role.PRIMARY] == ["b@2"]
+
+
 def auxiliary_stays_while_a_member_is_unheard() -> None:
     """Four members where three are needed; the auxiliary one may go only if all four are surely live."""
     auxiliary = auxiliary_identity("s", "g:3")
