Storage: a broken auxiliary store does not keep the node away; offers stay in control

What callers would see: a storage node whose auxiliary store cannot be opened (a full or damaged disk) would not have started at all, and its batch state with it. The test was written with the change, which has start_auxiliary return nothing where the store raises.

--- a/eiderhub/programs/auxiliary_service.py
+++ b/eiderhub/programs/auxiliary_service.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 import uuid
+from pathlib import Path
 
 import picologging as logging
 
@@ -16,9 +17,9 @@
 from eiderhub.coordination.auxiliary import auxiliary_identity
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.coordination.wire import WIRE_VERSION
-from eiderhub.programs.replica_host import ReplicaHost, open_store
+from eiderhub.programs.replica_host import ReplicaHost
 from eiderhub.programs.settings import TierSettings
-from eiderhub.storage.store import MAP_SHARE_OF_DISK, LmdbStore
+from eiderhub.storage.store import MAP_SHARE_OF_DISK, LmdbStore, StoreUnusable
 from eiderhub.transport.frame_connection import Connection
 from eiderhub.transport.frames import Message
 
@@ -91,13 +92,19 @@
 async def start_auxiliary(settings: TierSettings) -> AuxiliaryService | None:
     """Open the auxiliary replica's store and listen for control nodes.
 
-    A machine without a disk, or whose loss nothing covers, offers none: returns None.
+    A machine without a disk, or whose loss nothing covers, offers none: returns None. So does one whose store
+    cannot be opened: the storage node itself works without it.
     """
     if not settings.counts_for_quorum or not settings.data_dir:
         return None
     port = settings.first_port + PORT_OFFSET
     identity = auxiliary_identity(uuid.uuid4().hex[:10], f"{settings.ip}:{port}")
-    store = open_store(settings, identity, STORE_FILE_NAME, SHARE_OF_DISK)
+    disk_mb = settings.disk_mb * SHARE_OF_DISK
+    try:
+        store = LmdbStore(Path(settings.data_dir), disk_mb, identity, file_name=STORE_FILE_NAME)
+    except StoreUnusable as error:
+        log.error("offers no auxiliary replica: %s", error)
+        return None
     service = AuxiliaryService(settings, store)
     await asyncio.get_running_loop().create_server(lambda: Connection(service), settings.ip, port)
     return service
--- a/eiderhub/programs/control_service.py
+++ b/eiderhub/programs/control_service.py
@@ -60,6 +60,11 @@
 log = logging.getLogger("control")
 
 
+def without_offer(node: NodeRecord) -> NodeRecord:
+    """The record as published: only control nodes need to know of auxiliary replicas."""
+    return msgspec.structs.replace(node, auxiliary="") if node.auxiliary else node
+
+
 class Session(NamedTuple):
     node: NodeRecord
     subscriber: Subscriber
@@ -325,9 +330,9 @@
         # Machines without batch state come first: they have less to do.
         offering = sorted((n for n in nodes if n.auxiliary), key=lambda n: (n.identity in founders, n.name))
         roster.offers = {n.auxiliary: n.zone for n in offering if host_of(n.auxiliary) not in retiring}
-        silent_hosts = {host_of(n.identity) for n in nodes if not n.auxiliary}
+        hosts_without = {host_of(n.identity) for n in nodes if not n.auxiliary}
         members = [member for member in self.group.replica.members if is_auxiliary(member)]
-        roster.withdrawn = frozenset(m for m in members if host_of(m) in silent_hosts)
+        roster.withdrawn = frozenset(m for m in members if host_of(m) in hosts_without)
         roster.retired = frozenset(i for i in [*members, *roster.offers] if host_of(i) in retiring)
 
     def _publish_nodes(self) -> list[Write]:
@@ -342,7 +347,7 @@
         version_counts = self._session_table.wire_versions(self._now(), self._node)
         update = NodesUpdate(
             current.version,
-            nodes,
+            [without_offer(node) for node in nodes],
             sidecars,
             self._storage_group.founding_members(),
             retirements,
--- a/eiderhub/programs/replica_host.py
+++ b/eiderhub/programs/replica_host.py
@@ -17,7 +17,7 @@
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.timing import GroupSize
 from eiderhub.programs.settings import TierSettings
-from eiderhub.storage.store import FILE_NAME, LmdbStore, StoreUnusable
+from eiderhub.storage.store import LmdbStore, StoreUnusable
 from eiderhub.transport.frame_connection import Connection
 from eiderhub.transport.frames import Message
 from eiderhub.transport.group import GroupDriver
@@ -27,13 +27,10 @@
 log = logging.getLogger("replica")
 
 
-def open_store(
-    settings: TierSettings, identity: str, file_name: str = FILE_NAME, share_of_disk: float = 1.0
-) -> LmdbStore:
+def open_store(settings: TierSettings, identity: str) -> LmdbStore:
     """Open the replica's store, or create it with this identity; exit the process if it is unusable."""
-    disk_mb = settings.disk_mb * share_of_disk
     try:
-        store = LmdbStore(Path(settings.data_dir), disk_mb, identity, file_name=file_name)
+        store = LmdbStore(Path(settings.data_dir), settings.disk_mb, identity)
     except StoreUnusable as error:
         log.error("%s", error)
         sys.exit(1)
--- a/tests/test_auxiliary.py
+++ b/tests/test_auxiliary.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import dataclasses
 import json
 import random
 from pathlib import Path
@@ -15,7 +17,9 @@
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.roster import RECRUIT_INTERVAL_S, Roster
 from eiderhub.coordination.timing import GroupSize
+from eiderhub.programs.auxiliary_service import STORE_FILE_NAME, start_auxiliary
 from eiderhub.storage.store import MemoryStore
+from tests.items_support import tier_settings
 from tests.tier_support import Tier, document, wait_until
 
 FOR_TWO_LOSSES = GroupSize(None, 5)
@@ -69,6 +73,14 @@
     assert retirement.retiring_hosts(orders) == frozenset({"10.0.0.1"})
 
 
+def test_storage_node_starts_without_an_auxiliary_store_that_it_cannot_open(tmp_path: Path) -> None:
+    """Guards against a storage node that is away because of a copy which it keeps for another group."""
+    settings = tier_settings(tmp_path, "storage")
+    assert asyncio.run(start_auxiliary(dataclasses.replace(settings, counts_for_quorum=False))) is None
+    (tmp_path / STORE_FILE_NAME).write_bytes(b"no store" * 1000)
+    assert asyncio.run(start_auxiliary(settings)) is None
+
+
 @pytest.fixture
 def tier(tmp_path: Path) -> Tier:
     return Tier(tmp_path, storage=6, edges=1, tolerated_losses=2)
