Soak: as many machines as are tolerated lose their disks at once, again and again

The soak knew kills, stops, freezes and upgrades, with one loss to be borne; no program ever lost a disk in it.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,6 +20,8 @@
 STOP_TIMEOUT_S = 8.0
 POLL_INTERVAL_S = 0.25
 START_TIMEOUT_S = 60.0
+FOUNDING_S = 6.0  # until the groups bear the tolerated losses
+CATCH_UP_S = 8.0  # generous beside `bounds.catch_up_s`, since all programs share one machine
 
 
 WIRE_1 = "wire-1"  # the programs under test, restricted to wire version 1
@@ -37,6 +39,8 @@
     finish_s: float = 10.0  # for jobs to complete after the faults; the time that operators allow
     older: str = ""  # older programs for upgrades and downgrades: WIRE_1, or the folder of an older source
     upgrades_per_s: float = 1.5
+    tolerated_losses: int = 1
+    loses_disks: bool = False  # as many machines as are tolerated lose their disks at once, again and again
 
 
 class Soak:
@@ -51,7 +55,7 @@
         self.log: list[str] = []
         self._endpoints: list[Endpoint] = []
         self._serial = itertools.count(1)
-        self.tier = Tier(folder, settings.storage, settings.edges, self._endpoints)
+        self.tier = Tier(folder, settings.storage, settings.edges, self._endpoints, settings.tolerated_losses)
         self._generation = 1
         self._programs_in_use: set[str] = set()  # programs with a fault or a restart in progress
         self._traffic_ended = asyncio.Event()
@@ -72,7 +76,7 @@
                 *[self._send_live_requests] * self.settings.clients,
                 *[self._send_batch_jobs] * 3,
                 self._change_configuration,
-                self._inject_faults,
+                self._lose_disks if self.settings.loses_disks else self._inject_faults,
             ]
             for workload in workloads + ([self._upgrade] if self.settings.older else []):
                 self._tasks.append(asyncio.create_task(workload()))
@@ -269,6 +273,34 @@
             tasks += [asyncio.create_task(kind()) for _ in range(series)]
         await asyncio.gather(*tasks)
 
+    async def _lose_disks(self) -> None:
+        """Control and storage nodes lose their disks, and all others may be killed with them.
+
+        The next lose theirs once the ones before count as available again.
+        """
+        await asyncio.sleep(FOUNDING_S)
+        while not self._traffic_ended.is_set():
+            keepers = self.tier.with_role("control") + self.tier.with_role("storage")
+            lost = self.rng.sample(keepers, self.settings.tolerated_losses)
+            all_are_killed = self.rng.random() < 0.3
+            others = [program for program in keepers if program not in lost] if all_are_killed else []
+            await asyncio.gather(
+                *(self._lose_disk(program) for program in lost),
+                *(self._kill_one(program) for program in others),
+            )
+            await asyncio.sleep(CATCH_UP_S)
+
+    async def _kill_one(self, program: Program) -> None:
+        await self._disturb(program, "is killed", lambda p: self._restart(p, signal.SIGKILL), excused=True)
+
+    async def _lose_disk(self, program: Program) -> None:
+        async def empty(program: Program) -> None:
+            await asyncio.to_thread(program.lose_disk)
+            await asyncio.sleep(self.rng.uniform(0.3, 3.0))
+            program.start()
+
+        await self._disturb(program, "loses its disk", empty, excused=True)
+
     def _pick_program(self) -> Program | None:
         """A random program of a random role that has no fault or restart in progress."""
         role = self.rng.choice(["edge", "storage", "control"])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,14 @@
     play(seed, tmp_path, SETTINGS)
 
 
+@pytest.mark.parametrize("seed", [21, 22])
+def test_nothing_acknowledged_is_lost_with_the_tolerated_disks(tmp_path: Path, seed: int) -> None:
+    """Guards against acknowledged changes and results that stand on just the disks that are lost next."""
+    settings = SETTINGS._replace(seconds=24.0, edges=2, storage=7, tolerated_losses=2, loses_disks=True)
+    soak = play(seed, tmp_path, settings)
+    assert any("loses its disk" in line for line in soak.log)
+
+
 @pytest.mark.parametrize("seed", [11, 12])
 def test_nothing_accepted_is_lost_during_rolling_upgrades_and_downgrades(tmp_path: Path, seed: int) -> None:
     soak = play(seed, tmp_path, SETTINGS._replace(seconds=16.0, older=WIRE_1))
