Control: no auxiliary members while a control node does not know them

What callers would see, half way through an upgrade or back: a control primary of the landing before admits each auxiliary replica that greets it, and keeps it when its machine is lost or put back; the group would then want a majority of members that are gone.

Change: a feature in the first message says that a program knows auxiliary members. While one is connected that doesn't, the primary recruits none and removes those that it has, as long as the live members stay a majority; an auxiliary replica that is no member does not introduce itself to such a program.

Tests: tests/test_auxiliary.py (members leave, the roster's gate, the introduction).

--- a/eiderhub/coordination/membership.py
+++ b/eiderhub/coordination/membership.py
@@ -42,6 +42,7 @@
     heard: Callable[[str], bool]  # whether a replica has replied within the lease time
     absent: frozenset[str] = frozenset()  # silent members that are not expected back soon
     withdrawn: frozenset[str] = frozenset()  # auxiliary members that their machines no longer offer to run
+    allows_auxiliary: bool = True  # whether every connected program knows auxiliary replicas
 
     @property
     def leaving(self) -> frozenset[str]:
@@ -122,6 +123,19 @@
     return lost | (view.dead & view.withdrawn)
 
 
+def dismissed(view: GroupView) -> frozenset[str]:
+    """The auxiliary members that must go because a program is connected that would keep them like any other.
+
+    Programs of the landing before never replace an auxiliary member that is lost. None is removed where the
+    live members would not be a majority without it.
+    """
+    if view.allows_auxiliary or not all_live_synced(view):
+        return frozenset()
+    members = frozenset(member for member in view.members if is_auxiliary(member))
+    needed = majority(len(view.members) - 1)
+    return members if len(view.live) > needed else members & view.dead
+
+
 def has_surplus(view: GroupView, size: GroupSize) -> bool:
     """Whether the group has enough members without one of its auxiliary ones.
 
@@ -135,6 +149,7 @@
 def removable(view: GroupView, size: GroupSize) -> list[str]:
     """The members that may be removed now; those whose disk is lost come first, auxiliary ones last."""
     members = view.members - view.live if may_remove(view, size) else removable_dead(view, size)
+    members |= dismissed(view)
     if not members and has_surplus(view, size):
         members = frozenset(member for member in view.live if is_auxiliary(member))
     return sorted(members - {view.identity}, key=lambda member: (member not in view.replaced, member))
@@ -159,6 +174,8 @@
     A member that is not auxiliary counts for some time while it is away: it asks to join by itself when it
     returns, or its successor does. An auxiliary one that is away has to be replaced by the primary.
     """
+    if not view.allows_auxiliary:
+        return 0
     expected = {member for member in view.members - view.absent if not is_auxiliary(member)}
     return max(0, size.min_live - len(view.live | expected))
 
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -97,6 +97,7 @@
         self.auxiliary = is_auxiliary(identity)
         self.join_candidates: list[str] = []  # replicas that ask to join, the preferred ones first
         self.withdrawn: frozenset[str] = frozenset()  # auxiliary ones that their machines no longer run
+        self.allows_auxiliary = True  # whether every connected program knows auxiliary replicas
         self.outbox: list[Outgoing] = []
         self.role = Role.BACKUP
         self.primary: str | None = None  # of the epoch that this replica follows
@@ -755,6 +756,7 @@
             heard=lambda identity: not self._is_silent(now, identity, self.timing.lease),
             absent=frozenset(absent),
             withdrawn=self.withdrawn,
+            allows_auxiliary=self.allows_auxiliary,
         )
 
     def _may_change_members(self, now: float) -> bool:
--- a/eiderhub/coordination/roster.py
+++ b/eiderhub/coordination/roster.py
@@ -35,6 +35,7 @@
         self.offers: Mapping[str, str] = {}  # auxiliary replicas that may be recruited, with their zones
         self.withdrawn: frozenset[str] = frozenset()  # auxiliary members that their machines no longer run
         self._short_since: float | None = None  # when the group began to lack auxiliary replicas
+        self._without_auxiliary: set[str] = set()  # whose programs do not know auxiliary replicas
         self._identity_at: dict[str, str] = {}  # connected identities by address
         self._node_names: dict[str, str] = {}  # by identity
         self._zones = {identity: zone}
@@ -43,8 +44,12 @@
         """Discard what an earlier epoch knew of auxiliary replicas, which is too old to act on."""
         self.offers, self.withdrawn, self._short_since = {}, frozenset(), None
 
-    def add_replica(self, identity: str, name: str, zone: str) -> None:
+    def add_replica(self, identity: str, name: str, zone: str, supports_auxiliary: bool = True) -> None:
         """Another replica has introduced itself; it replaces any earlier replica at its address."""
+        if supports_auxiliary:
+            self._without_auxiliary.discard(identity)
+        else:
+            self._without_auxiliary.add(identity)
         self._identity_at[address_of(identity)] = identity
         self._node_names[identity] = name
         self._zones[identity] = zone
@@ -64,6 +69,7 @@
         if replica.role is not Role.PRIMARY:
             return
         replica.withdrawn = self.withdrawn
+        replica.allows_auxiliary = self._without_auxiliary.isdisjoint(self._identity_at.values())
         retiring = self.retiring(replica.members)
         for identity in retiring:
             replica.mark_retiring(identity)
--- a/eiderhub/coordination/wire.py
+++ b/eiderhub/coordination/wire.py
@@ -21,6 +21,7 @@
     DEFLATE = "deflate"  # deflated frames, marked by a bit of their length
     SHARED_LOAD = "shared-load"  # `LoadUpdate`
     SESSION_ACCEPTED = "session-accepted"  # `SessionAccepted`, with what the control node supports
+    AUXILIARY = "auxiliary-members"  # no message: knows auxiliary replicas from other members
 
 
 class WireSupport(Struct, array_like=True, frozen=True):
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -16,7 +16,7 @@
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.roster import Roster, address_of
 from eiderhub.coordination.store import StoreFailed
-from eiderhub.coordination.wire import OWN_SUPPORT, WireSupport
+from eiderhub.coordination.wire import OWN_SUPPORT, Feature, WireSupport
 from eiderhub.transport.frame_connection import Connection, connect
 from eiderhub.transport.frames import Message
 
@@ -43,6 +43,7 @@
         self.driver = driver
         self.target = target
         self.connection: Connection | None = None
+        self.peer_support: WireSupport | None = None  # declared by the peer on any connection so far
         self._closed = asyncio.Event()
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -64,7 +65,13 @@
         """Handle the peer's `Hello`; replicas send everything else on their own outbound connections."""
         if isinstance(message, Hello):
             connection.peer_zone = message.node.zone
-            connection.peer_support = message.support
+            connection.peer_support = self.peer_support = message.support
+
+    def stop(self) -> None:
+        """Close the connection and do not reopen it."""
+        self.task.cancel()
+        if self.connection is not None:
+            self.connection.close()
 
     def on_closed(self, connection: Connection) -> None:
         self.connection = None
@@ -221,9 +228,25 @@
         self._incoming[node.identity] = connection
         connection.peer_zone = node.zone
         connection.peer_support = support
-        self.roster.add_replica(node.identity, node.name, node.zone)
+        supports_auxiliary = support.includes(Feature.AUXILIARY)
+        self.roster.add_replica(node.identity, node.name, node.zone, supports_auxiliary)
         connection.send(Hello(self.node, OWN_SUPPORT))
-        self.ensure_link(address_of(node.identity))
+        if supports_auxiliary or not self._stays_unknown():
+            self.ensure_link(address_of(node.identity))
+
+    def _stays_unknown(self) -> bool:
+        """Whether this replica must not introduce itself to programs that do not know auxiliary replicas.
+
+        They would admit it like any other, and keep it when it is lost.
+        """
+        return self.replica.auxiliary and self.replica.identity not in self.replica.members
+
+    def _close_unwanted_links(self) -> None:
+        if self._stays_unknown():
+            for target, link in list(self._links.items()):
+                if link.peer_support is not None and not link.peer_support.includes(Feature.AUXILIARY):
+                    link.stop()
+                    del self._links[target]
 
     def on_replica_message(self, sender: str, message: ReplicaMessage) -> None:
         self.replica.receive(self.now(), sender, message)
@@ -262,6 +285,7 @@
     def update_members(self) -> None:
         for member in self.replica.members:
             self.ensure_link(address_of(member))
+        self._close_unwanted_links()
         for identity in self.roster.recruits(self.now(), self.replica):
             self.ensure_link(address_of(identity))
         self.roster.update_replica(self.replica)
--- a/tests/test_auxiliary.py
+++ b/tests/test_auxiliary.py
@@ -7,18 +7,24 @@
 import json
 import random
 from pathlib import Path
+from types import SimpleNamespace
+from typing import cast
 
 import pytest
 
 from eiderhub.control import retirement
+from eiderhub.control.messages import NodeRecord
 from eiderhub.control.retirement import RetireOrder
 from eiderhub.coordination.auxiliary import auxiliary_identity, is_auxiliary
-from eiderhub.coordination.membership import GroupView, next_change, next_learner
-from eiderhub.coordination.replication import Replica
-from eiderhub.coordination.roster import RECRUIT_INTERVAL_S, Roster
+from eiderhub.coordination.membership import GroupView, lacks_auxiliary, next_change, next_learner
+from eiderhub.coordination.replication import Replica, Role
+from eiderhub.coordination.roster import RECRUIT_INTERVAL_S, Roster, address_of
 from eiderhub.coordination.timing import GroupSize
+from eiderhub.coordination.wire import DEFAULT_SUPPORT, OWN_SUPPORT
 from eiderhub.programs.auxiliary_service import STORE_FILE_NAME, start_auxiliary
 from eiderhub.storage.store import MemoryStore
+from eiderhub.transport.frame_connection import Connection
+from eiderhub.transport.group import GroupDriver
 from tests.items_support import tier_settings
 from tests.tier_support import Tier, document, wait_until
 
@@ -68,6 +74,59 @@
     assert next_change(view(members, [], AUXILIARY[:2]), [], FOR_TWO_LOSSES) is None
 
 
+def test_auxiliary_members_leave_when_a_program_is_connected_that_would_keep_them() -> None:
+    """Guards against dead auxiliary members that add up while control nodes are put back by a landing."""
+    members = [*CONTROL, *AUXILIARY[:2]]
+    mixed = view(members)._replace(allows_auxiliary=False)
+    change = next_change(mixed, [], FOR_TWO_LOSSES)
+    assert change is not None and change.members == frozenset({*CONTROL, AUXILIARY[1]})
+    needed = mixed._replace(silent=frozenset(CONTROL[1:]))
+    assert next_change(needed, [], FOR_TWO_LOSSES) is None
+    assert not lacks_auxiliary(view(CONTROL)._replace(allows_auxiliary=False), [], FOR_TWO_LOSSES)
+    assert lacks_auxiliary(view(CONTROL), [], FOR_TWO_LOSSES)
+
+
+def test_roster_knows_whether_all_connected_programs_know_auxiliary_replicas() -> None:
+    replica = Replica(CONTROL[0], MemoryStore(), 0.0, random.Random(1), FOR_TWO_LOSSES)
+    replica.bootstrap(CONTROL)
+    replica.role = Role.PRIMARY
+    roster = Roster(CONTROL[0], "z0")
+    for identity, supports, allows in ((CONTROL[1], True, True), (CONTROL[2], False, False)):
+        roster.add_replica(identity, identity, "z", supports)
+        roster.update_replica(replica)
+        assert replica.allows_auxiliary is allows
+    roster.remove_replica(CONTROL[2])
+    roster.update_replica(replica)
+    assert replica.allows_auxiliary
+    roster.add_replica(CONTROL[2], CONTROL[2], "z", False)
+    roster.add_replica(CONTROL[2], CONTROL[2], "z", True)  # upgraded
+    roster.update_replica(replica)
+    assert replica.allows_auxiliary
+
+
+def test_auxiliary_replica_is_not_introduced_to_programs_that_do_not_know_such(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        own = AUXILIARY[0]
+        replica = Replica(own, MemoryStore(), 0.0, random.Random(1), FOR_TWO_LOSSES)
+        driver = GroupDriver(replica, NodeRecord("s0", "auxiliary", "z", own), lambda: None)
+        linked: list[str] = []
+        monkeypatch.setattr(driver, "ensure_link", linked.append)
+        connection = cast(Connection, SimpleNamespace(send=lambda message: None))
+        node = NodeRecord("c1", "control", "z", CONTROL[1])
+        driver.add_replica(connection, node, DEFAULT_SUPPORT)
+        assert linked == []
+        driver.add_replica(connection, node, OWN_SUPPORT)
+        assert linked == [address_of(CONTROL[1])]
+        replica.bootstrap([own, *CONTROL])
+        driver.add_replica(connection, node, DEFAULT_SUPPORT)  # a member has to be reached by all
+        assert linked == [address_of(CONTROL[1])] * 2
+        driver.stop()
+
+    asyncio.run(test())
+
+
 def test_hosts_of_open_retirements() -> None:
     orders = {"s1": RetireOrder(["x@10.0.0.1:2", "y@10.0.0.1:2"]), "s2": RetireOrder(["z@10.0.0.2:2"], True)}
     assert retirement.retiring_hosts(orders) == frozenset({"10.0.0.1"})
