--- a/tests/test_losses_model.py
+++ b/tests/test_losses_model.py
@@ -6,13 +6,11 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
 
 from eiderhub.coordination.auxiliary import is_auxiliary
-from tests.model.history import InvariantViolation
 from tests.model.losses import FOUNDING_S, LOSS_SCHEDULES, expect_leader, play
 from tests.model.schedules import CATCH_UP_S, serve
 from tests.model.world import (
@@ -24,7 +22,7 @@
     Shape,
     World,
 )
-from tests.test_model import set_small_sizes
+from tests.test_model import collect_violations, set_small_sizes
 
 SCHEDULE_COUNT = int(os.environ.get("OTTERCLEAT_LOSS_SCHEDULES", "840"))
 FIRST_SEED = int(os.environ.get("OTTERCLEAT_FIRST_SEED", "0"))
@@ -40,25 +38,16 @@
 def play_block(first: int) -> list[str]:
     """Return the violations in a block of seeds, which use the shapes and the schedules in turn."""
     set_loss_sizes()
-    violations = []
-    for seed in range(first, first + BLOCK_SIZE):
-        schedule = LOSS_SCHEDULES[seed // len(LARGER_SHAPES) % len(LOSS_SCHEDULES)]
-        try:
-            play(seed, schedule)
-        except InvariantViolation as error:
-            violations.append(str(error))
-    return violations
+    return collect_violations(
+        lambda seed: play(seed, LOSS_SCHEDULES[seed // len(LARGER_SHAPES) % len(LOSS_SCHEDULES)]),
+        range(first, first + BLOCK_SIZE),
+    )
 
 
-@pytest.fixture
-def pool() -> Iterator[ProcessPoolExecutor]:
-    with ProcessPoolExecutor(os.cpu_count()) as executor:
-        yield executor
-
-
-def test_no_losses_within_the_tolerance_violate_an_invariant(pool: ProcessPoolExecutor) -> None:
+def test_no_losses_within_the_tolerance_violate_an_invariant() -> None:
     blocks = range(FIRST_SEED, FIRST_SEED + SCHEDULE_COUNT, BLOCK_SIZE)
-    violations = [each for block in pool.map(play_block, blocks) for each in block]
+    with ProcessPoolExecutor(os.cpu_count()) as pool:
+        violations = [each for block in pool.map(play_block, blocks) for each in block]
     assert not violations, "\n".join(violations[:5])
 
 
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 
 import pytest
@@ -30,18 +30,25 @@
     recent_changes.RETAINED_ENTRIES = FEW_RETAINED_ENTRIES
 
 
-def play_block(first: int) -> list[str]:
-    """Return the violations in a block of seeds, which use the schedules in turn."""
-    set_small_sizes()
+def collect_violations(play_seed: Callable[[int], object], seeds: Iterable[int]) -> list[str]:
+    """Play each seed and return the violations."""
     violations = []
-    for seed in range(first, first + BLOCK_SIZE):
+    for seed in seeds:
         try:
-            play(seed, SCHEDULES[seed % len(SCHEDULES)])
+            play_seed(seed)
         except InvariantViolation as error:
             violations.append(str(error))
     return violations
 
 
+def play_block(first: int) -> list[str]:
+    """Return the violations in a block of seeds, which use the schedules in turn."""
+    set_small_sizes()
+    return collect_violations(
+        lambda seed: play(seed, SCHEDULES[seed % len(SCHEDULES)]), range(first, first + BLOCK_SIZE)
+    )
+
+
 @pytest.fixture
 def pool() -> Iterator[ProcessPoolExecutor]:
     with ProcessPoolExecutor(os.cpu_count()) as executor:
