Coordination: a new primary does not wait for a member that has never replied

Change: only members that have replied in the epoch are waited for.

Test: test_new_primary_does_not_wait_for_a_member_that_has_never_replied, red before.

--- a/eiderhub/coordination/catch_up.py
+++ b/eiderhub/coordination/catch_up.py
@@ -88,12 +88,13 @@
     """What a primary knows about another replica."""
 
     __slots__ = (
-        "catch_up_sent_at", "last_heard_at", "readable_format", "sent_position", "snapshot_transfer",
-        "synced_position",
+        "catch_up_sent_at", "has_replied", "last_heard_at", "readable_format", "sent_position",
+        "snapshot_transfer", "synced_position",
     )  # fmt: skip
 
     def __init__(self, now: float) -> None:
         self.catch_up_sent_at = 0.0  # when missing updates or a snapshot were last sent to it
+        self.has_replied = False  # in this epoch
         self.last_heard_at = now  # when its last reply arrived
         self.synced_position: Position | None = None  # as reported in this epoch
         self.readable_format = FIRST_FORMAT  # newest record format that it has reported
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -637,6 +637,7 @@
         if self.role is not Role.PRIMARY or peer is None or message.epoch != self.epoch:
             return
         peer.last_heard_at = now
+        peer.has_replied = True
         peer.readable_format = message.reads_form
         self._lease.confirm(sender, message.sent_at)
         if message.gap and peer.sent_position is not None and message.sent_at <= peer.catch_up_sent_at:
@@ -727,12 +728,18 @@
             self.committed = max(self.committed, version)
 
     def _live_member_count(self, now: float) -> int:
-        """The number of members that reply and whose disk is not known to be lost."""
+        """The number of members that have replied, are not silent, and whose disk is not known to be lost."""
         return sum(
-            member not in self._replaced and not self._is_silent(now, member, self.timing.replace_after)
+            member not in self._replaced
+            and self._has_replied(member)
+            and not self._is_silent(now, member, self.timing.replace_after)
             for member in self._members
         )
 
+    def _has_replied(self, identity: str) -> bool:
+        peer = self._peers.get(identity)
+        return identity == self.identity or (peer is not None and peer.has_replied)
+
     def _is_committed_by_majority(self, version: int) -> bool:
         """Whether a version synced by a majority is thereby committed."""
         return version >= self._epoch_first_version
--- a/tests/test_group_health.py
+++ b/tests/test_group_health.py
@@ -11,6 +11,7 @@
 
 from eiderhub.control.messages import NodeRecord
 from eiderhub.coordination.membership import GroupHealth, GroupView, health
+from eiderhub.coordination.messages import EpochAnswer, Position, Replicated
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.timing import GroupSize
 from eiderhub.programs.replica_host import health_metric_lines
@@ -48,6 +49,23 @@
     assert found.sufficient is (losses_borne >= 2)
 
 
+def test_new_primary_does_not_wait_for_a_member_that_has_never_replied() -> None:
+    """Guards against a new tier without a leader until its last seed is up: 1.5 s without a configuration."""
+    members = ["a@1", "b@2", "c@3"]
+    replica = Replica("a@1", MemoryStore(), 0.0, random.Random(1), FOR_TWO_LOSSES)
+    replica.bootstrap(members)
+    replica.tick(2.0)
+    for trial in (True, False):
+        replica.receive(2.0, "b@2", EpochAnswer(2, True, trial, 1))
+    replica.receive(2.1, "b@2", Replicated(2, Position(1, 1), 2.0))
+    replica.receive(2.2, "b@2", Replicated(2, replica.position, 2.15))
+    assert replica.leads(2.2)
+    replica.receive(2.3, "c@3", Replicated(2, Position(1, 1), 2.25))
+    position = replica.propose(2.3, [])
+    replica.receive(2.4, "b@2", Replicated(2, position, 2.35))
+    assert replica.committed < position.version  # the third member answers now, and its copy is waited for
+
+
 def test_only_a_primary_has_metrics_of_its_group() -> None:
     assert health_metric_lines(None) == []
     lines = health_metric_lines(GroupHealth(4, 3, 0, 2))
