--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -196,6 +196,12 @@
         "a granted epoch is granted again",
         0,
         "concurrent_short_faults",
+        ((witness, "is_new_epoch", _equal_epoch), (Replica, "_outranks", _always(False))),
+    ),
+    PlantedFault(
+        "an epoch is granted to a second candidate",
+        0,
+        "epoch_is_granted_to_one_candidate_only",
         ((witness, "is_new_epoch", _equal_epoch),),
     ),
     PlantedFault(
--- a/tests/model/traces.py
+++ b/tests/model/traces.py
@@ -18,6 +18,7 @@
     Position,
     Replicate,
     Replicated,
+    RequestEpoch,
     SnapshotChunk,
     Update,
     Write,
@@ -91,6 +92,16 @@
     assert disk.epoch == 5
 
 
+def epoch_is_granted_to_one_candidate_only() -> None:
+    replica = backup()
+    answers = []
+    for candidate in ("a@1", "c@3"):
+        replica.receive(2.0, candidate, RequestEpoch(2, GENESIS, trial=False))
+        answers += [each.message for each in replica.outbox]
+        replica.outbox = []
+    assert [answer.granted for answer in answers if isinstance(answer, EpochAnswer)] == [True, False]
+
+
 def earlier_write_is_not_committed_by_counting() -> None:
     replica = primary(2.0)
     replica.receive(2.0, "b@2", Replicated(2, GENESIS, 2.0))
