Batch items: what cannot stand in the head of one request is refused before the 202

Cause: heads were joined from an item's JSON text unchecked; only live clients' bytes had passed a parser. Names were compared in one case of letters. Change: eiderhub/request_head.py renders all heads and refuses a name that is no token, a value with control characters, a target that is no path. A job with such an item, an empty id, tokens out of range or a body that is not base64 gets a 400 that names item and field. What an older version accepted ends as a dead letter, unsent, at the primary or, from a primary one version behind, at the sidecar. White space around a header's value is dropped where it is read. Why it works: what the rendering lets through is what an HTTP parser reads as one request, and nothing else writes a head.

--- a/eiderhub/batch/dispatch.py
+++ b/eiderhub/batch/dispatch.py
@@ -190,11 +190,11 @@
             now, wall_time, self.scheduler.mean_run_s, self.table, self.scheduler.progressing_nodes()
         )
         for job in job_order.idle_jobs(self._late_start_budget):
-            for item in islice(job.runnable(), 1):
+            for item in islice(self.table.runnable(job), 1):
                 if self._assign(now, wall_time, item, round_, job_order):
                     self._late_start_budget.record_start(overtaking=job_order.overtakes(job))
         for job in job_order.waiting_jobs():
-            for item in list(job.runnable()):
+            for item in list(self.table.runnable(job)):
                 if not self._assign(now, wall_time, item, round_, job_order):
                     break
                 self._late_start_budget.record_start(overtaking=False)
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import Iterable, Iterator
 from enum import Enum
 from typing import NamedTuple, Protocol
@@ -19,8 +18,13 @@
 from eiderhub.batch.messages import ItemKey, Progress, RunItem
 from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.coordination.messages import Write
+from eiderhub.request_head import UnsendableRequest, item_head
 
 JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX, ERRORS_PREFIX = "job/", "body/", "result/", "errors/"
+MAX_ITEM_HEAD_BYTES = 64 << 10  # without a configured limit
+MAX_ITEM_TOKENS = 1e12
+MAX_SHOWN_CHARACTERS = 60  # of an item's id, in an error message
+CHECK_HOST = "host"  # stands for the route's host where only the item is checked
 POSITION_DIGITS = 7
 NO_POSITION = -1
 MAX_ITEMS = 200
@@ -40,6 +44,7 @@
     retention_s: float
     max_attempts: int
     max_queued_tokens: float  # 0: no limit
+    max_head_bytes: int = MAX_ITEM_HEAD_BYTES  # of the request that runs an item
 
 
 class SubmittedItem(Struct):
@@ -54,6 +59,33 @@
     requests: list[SubmittedItem]
 
 
+class InvalidItem(ValueError):
+    """An item of a submission cannot be run as its client describes it."""
+
+    def __init__(self, item: str, reason: str) -> None:
+        super().__init__(f"item {item[:MAX_SHOWN_CHARACTERS]!r}: {reason}")
+
+
+def check_item(item: SubmittedItem, max_head_bytes: int) -> None:
+    """Check that an item can be sent to an endpoint as one request.
+
+    Raises:
+        InvalidItem: it cannot.
+    """
+    try:
+        body = base64.b64decode(item.body, validate=True)
+    except ValueError as error:
+        raise InvalidItem(item.id, f"body: {error}") from None
+    if not 0 <= item.tokens <= MAX_ITEM_TOKENS:
+        raise InvalidItem(item.id, f"tokens: must be from 0 to {MAX_ITEM_TOKENS:g}")
+    try:
+        head = item_head(item.id, item.path, item.headers, CHECK_HOST, body)
+    except UnsendableRequest as error:
+        raise InvalidItem(item.id, str(error)) from None
+    if len(head) > max_head_bytes:
+        raise InvalidItem(item.id, f"path and headers: more than {max_head_bytes} bytes")
+
+
 class ItemRecord(Struct, array_like=True, frozen=True):
     id: str
     tokens: float
@@ -93,7 +125,18 @@
 class Item:
     """One item. Only the job table changes its state, node and position."""
 
-    __slots__ = ("errors", "id", "job", "node", "order_number", "position", "progress", "state", "tokens")
+    __slots__ = (
+        "errors",
+        "id",
+        "job",
+        "node",
+        "order_number",
+        "position",
+        "progress",
+        "state",
+        "tokens",
+        "unsendable",
+    )
 
     def __init__(self, job: Job, record: ItemRecord) -> None:
         self.job = job
@@ -105,6 +148,7 @@
         self.position = NO_POSITION
         self.errors = 0  # answers with status 500
         self.progress: Progress | None = None
+        self.unsendable = False  # no request can be made of it; accepted before such items were refused
 
     @property
     def key(self) -> ItemKey:
@@ -127,6 +171,7 @@
         self.progressed_at = float("-inf")
         self.waiting_count = len(record.items)
         self.committed = False
+        self.items_checked = False  # whether `unsendable` is known of its items
 
     @property
     def due_at(self) -> float:
@@ -136,8 +181,10 @@
         return (item for item in self.items.values() if item.state is ItemState.WAITING)
 
     def runnable(self) -> Iterator[Item]:
-        """Waiting items that have attempts left."""
-        return (item for item in self.waiting() if item.errors < self.record.max_attempts)
+        """Waiting items that can be sent and have attempts left."""
+        return (
+            item for item in self.waiting() if not item.unsendable and item.errors < self.record.max_attempts
+        )
 
 
 class Reader(Protocol):
@@ -242,8 +289,8 @@
         try:
             submission = msgspec.json.decode(body, type=Submission)
             for each in submission.requests:
-                base64.b64decode(each.body, validate=True)
-        except (msgspec.DecodeError, binascii.Error) as error:
+                check_item(each, limits.max_head_bytes)
+        except (msgspec.DecodeError, InvalidItem) as error:
             return Refusal(ErrorKind.INVALID, str(error))
         items = submission.requests
         if not items or len(items) > MAX_ITEMS or len({i.id for i in items}) != len(items):
@@ -256,6 +303,7 @@
             [ItemRecord(i.id, i.tokens) for i in items],
         )  # fmt: skip
         job = Job(record)
+        job.items_checked = True
         self.jobs[job_id] = job
         self._submitted_items[job_id] = {item.id: item for item in items}
         self._add_queued_tokens(job)
@@ -398,6 +446,21 @@
 
     # --- items to run ---
 
+    def runnable(self, job: Job) -> Iterator[Item]:
+        """The items of a job that may be assigned now."""
+        if not job.items_checked:
+            self._check_items(job)
+        return job.runnable()
+
+    def _check_items(self, job: Job) -> None:
+        """Find the items of a stored job that cannot be sent: an older version may have accepted them."""
+        job.items_checked = True
+        for name, submitted in self._submitted(job.record.id).items():
+            try:
+                item_head(name, submitted.path, submitted.headers, CHECK_HOST, b"")
+            except UnsendableRequest:
+                job.items[name].unsendable = True
+
     def jobs_by_priority(self, wall_time: float, mean_run_s: float) -> list[Job]:
         """Open jobs in the order in which their items are to be run.
 
@@ -458,7 +521,7 @@
         return item
 
     def undeliverable_items(self, wall_time: float, known_routes: set[str] | None) -> list[Item]:
-        """Waiting items that end as dead letters: out of attempts, expired, or without a route.
+        """Waiting items that end as dead letters: out of attempts, expired, without a route, not sendable.
 
         `known_routes`: the routes in force; None if they are not known, and routes are not checked.
         """
@@ -467,6 +530,7 @@
             expired = wall_time > job.record.accepted_at + job.record.retention_s + RETENTION_SLACK_S
             route_removed = known_routes is not None and job.record.route not in known_routes
             for item in job.waiting():
-                if expired or route_removed or item.errors >= job.record.max_attempts:
+                out_of_attempts = item.errors >= job.record.max_attempts
+                if expired or route_removed or out_of_attempts or item.unsendable:
                     found.append(item)
         return found
--- a/eiderhub/control/errors.py
+++ b/eiderhub/control/errors.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+import msgspec
+
 
 class ErrorKind(Enum):
     INVALID = "invalid"  # the request is malformed or violates a rule
@@ -38,3 +40,7 @@
     @property
     def status(self) -> int:
         return HTTP_STATUS[self.kind]
+
+    def encode(self) -> bytes:
+        """The body of the answer that reports it."""
+        return msgspec.json.encode({"error": self.kind.value, "why": self.reason})
--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -36,6 +36,7 @@
     Settings,
     Tenant,
 )
+from eiderhub.request_head import field_line, is_identifier
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.transport.traffic import TRAFFIC
 
@@ -415,6 +416,8 @@
             balancer.discovery(self.now_us(), ListForm.DELTA, [])
 
     def update_endpoints(self, records: list[EndpointRecord]) -> None:
+        # Requests name the endpoint in a header; one whose id fits in none cannot be sent anything.
+        records = [record for record in records if is_identifier(record.id.encode())]
         if records == self._records:
             return
         self._records = records
@@ -612,10 +615,10 @@
             self._loop.call_soon(attempt.on_failed, False)
             return
         head, body = pending.request
-        parts = [head, b"Expect-Instance: %s\r\n" % endpoint.encode()]
-        parts.append(b"Timeout-Ms: %d\r\n" % max(1, (pending.deadline_us - now) // 1000))
+        parts = [head, field_line(b"Expect-Instance", endpoint.encode())]
+        parts.append(field_line(b"Timeout-Ms", b"%d" % max(1, (pending.deadline_us - now) // 1000)))
         if pending.last_event_id != NO_EVENT_ID:
-            parts.append(b"Last-Event-Id: %d\r\n" % pending.last_event_id)
+            parts.append(field_line(b"Last-Event-Id", b"%d" % pending.last_event_id))
         parts.append(b"\r\n")
         parts.append(body)
         data = b"".join(parts)
--- a/eiderhub/dataplane/endpoint_connections.py
+++ b/eiderhub/dataplane/endpoint_connections.py
@@ -16,6 +16,7 @@
 import httptools
 
 from eiderhub import address
+from eiderhub.request_head import OPTIONAL_WHITESPACE
 
 KEEP_ALIVE_SHARE = 0.6  # of the endpoint's keep-alive timeout for which we reuse an idle connection
 DEFAULT_KEEP_ALIVE_S = 2.0  # keep-alive timeout of an endpoint that does not send one
@@ -132,7 +133,7 @@
             raise ValueError("response headers exceed the size limit")
         if self._head_complete:
             return  # a trailer field
-        self._headers.append((name, value))
+        self._headers.append((name, value.strip(OPTIONAL_WHITESPACE)))
         lower = name.lower()
         if lower in (b"content-length", b"transfer-encoding"):
             self._is_framed = True
--- a/eiderhub/dataplane/frontend.py
+++ b/eiderhub/dataplane/frontend.py
@@ -10,14 +10,8 @@
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.events import Event
 from eiderhub.http1 import REASON_PHRASES, ConnectionLimits, Exchange, ServerConnection
+from eiderhub.request_head import OPTIONAL_WHITESPACE
 
-# Request headers for one connection only (RFC 9110, section 7.6.1), and those that the sidecar sets itself.
-NOT_FORWARDED = frozenset(
-    (
-        b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-        b"upgrade", b"content-length", b"expect", b"timeout-ms", b"expect-instance",
-    )
-)  # fmt: skip
 HOP_BY_HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"content-length", b"trailer", b"upgrade")
 )
@@ -152,6 +146,9 @@
         self._request_count += 1
         self._head_bytes = 0
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value.strip(OPTIONAL_WHITESPACE))
+
     def _serve_request(self, exchange: Exchange) -> None:
         assert isinstance(exchange, ClientExchange)
         if self._handler.draining:
@@ -172,12 +169,3 @@
 
     def _answer(self, exchange: Exchange) -> None:
         exchange.respond(200 if self._is_ready() else 503)
-
-
-def request_head(method: bytes, target: bytes, headers: dict[bytes, bytes], body: bytes) -> bytes:
-    """Request line and headers to send to an endpoint, except the headers that differ between attempts."""
-    lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
-    lines += [b"%s: %s\r\n" % pair for pair in headers.items() if pair[0].lower() not in NOT_FORWARDED]
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d\r\n" % len(body))
-    return b"".join(lines)
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 import picologging as logging
@@ -37,8 +37,8 @@
 from eiderhub.dataplane.admission import BATCH_TENANT, NO_EVENT_ID, Admission, Call
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.events import Event
-from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route
+from eiderhub.request_head import HOST_FIELD, UnsendableRequest, item_head
 from eiderhub.transport.frame_connection import Connection, connect
 from eiderhub.transport.frames import Message
 from eiderhub.transport.tasks import TaskSet
@@ -200,6 +200,7 @@
         self._session_changed = asyncio.Event()
         self._calls: dict[int, asyncio.Future[Answer]] = {}
         self._call_numbers = itertools.count(1)
+        self._item_numbers = itertools.count(1)
         self._session_ready = asyncio.Event()  # set while a primary has accepted the session
         self._last_response_count = 0  # of the router, at the last check
         self._probes = TaskSet()
@@ -398,16 +399,25 @@
             self.return_item(item, ReturnReason.UNKNOWN_ROUTE)
             return
         route, admission = found
-        headers = {name.encode(): value.encode() for name, value in order.headers.items()}
-        headers[b"Host"] = route.host.encode()
-        headers[b"Request-Id"] = order.key.item.encode()
-        head = request_head(b"POST", order.path.encode(), headers, order.body)
+        try:
+            head = item_head(order.key.item, order.path, order.headers, route.host, order.body)
+        except UnsendableRequest as error:
+            self._end_unsendable_item(item, error)
+            return
         due_us = admission.now_us() + int(ITEM_TIMEOUT_S * 1e6)
         tenant = f"{BATCH_TENANT} {route.name}"
-        tokens = token_usage(order.headers.get("Token-Usage", ""))
+        tokens = token_usage(header_value(order.headers, "Token-Usage"))
         request_id = order.key.item.encode()
-        name = f"item {order.key.job} {order.key.item}"
-        call = Call(name, route, request_id, (head, order.body), due_us, tenant, tokens, item)
+        call = Call(
+            f"item {next(self._item_numbers)}",
+            route,
+            request_id,
+            (head, order.body),
+            due_us,
+            tenant,
+            tokens,
+            item,
+        )
         if order.progress is not None:
             call.last_event_id = order.progress.last_event
             call.response_started = True
@@ -415,6 +425,17 @@
         item.call, item.admission = call, admission
         admission.submit(call)
 
+    def _end_unsendable_item(self, item: RunningItem, error: UnsendableRequest) -> None:
+        """End an item of which no request can be made, as one that no endpoint can ever run.
+
+        The primary refuses such items. One may be in a store since before it did, or come from an older one.
+        """
+        log.warning("%s %s cannot be sent to an endpoint: %s", item.key.job, item.key.item, error)
+        if error.field == HOST_FIELD:
+            self.return_item(item, ReturnReason.UNKNOWN_ROUTE)
+        else:
+            self.on_item_ended(ItemFinished(item.key, False, ""))
+
     def _cancel_item(self, key: ItemKey) -> None:
         self._tracker.remove_item(key)
         item = self._items.pop(key, None)
@@ -485,6 +506,11 @@
             self._calls.pop(number, None)
 
 
+def header_value(headers: Mapping[str, str], name: str) -> str:
+    """The value of a header, in whatever case its name is written; empty if it is missing."""
+    return next((value for key, value in headers.items() if key.lower() == name.lower()), "")
+
+
 def token_usage(header: str) -> tuple[int, int]:
     """Prompt tokens and the output limit of a Token-Usage header; zeros if it is missing or invalid."""
     prompt, _, max_output = header.partition(",")
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, NamedTuple
 
+from eiderhub.batch.jobs import MAX_ITEM_HEAD_BYTES
 from eiderhub.control.configuration import weighted_services
 from eiderhub.control.spending import capped_tenants
 
@@ -67,6 +68,7 @@
         self.tenants = capped_tenants(document)
         limits = document.get("limits", {})
         self.idle_timeout_s = clamped(limits.get("idle_timeout_ms", 15_000)) / 1000
+        self.max_header_bytes = int(clamped(limits.get("max_header_bytes", MAX_ITEM_HEAD_BYTES)))
         self.max_body_bytes = int(clamped(limits.get("max_body_bytes", 4 << 20)))
 
     def find(self, host: str, path: str) -> Route | None:
--- a/eiderhub/programs/batch_calls.py
+++ b/eiderhub/programs/batch_calls.py
@@ -81,7 +81,7 @@
 
     @staticmethod
     def _refusal_answer(call: int, refusal: Refusal) -> Answer:
-        return Answer(call, refusal.status, refusal.reason.encode())
+        return Answer(call, refusal.status, refusal.encode())
 
     # --- submission ---
 
--- a/eiderhub/programs/dead_letters.py
+++ b/eiderhub/programs/dead_letters.py
@@ -70,6 +70,8 @@
             return [write for key in keys for write in self._jobs.finish(key, False, "")]
 
         await self._group.commit(change)
+        if keys:
+            log.info("dead letters: %d items, the first %s of job %s", len(keys), keys[0].item, keys[0].job)
         for key in keys:
             self._on_dead_letter(key)
 
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -20,14 +20,15 @@
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
 from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord, SessionPing
 from eiderhub.coordination.wire import WIRE_VERSION
-from eiderhub.dataplane.admission import Admission, Call
+from eiderhub.dataplane.admission import NO_EVENT_ID, Admission, Call
 from eiderhub.dataplane.drain import Drain
 from eiderhub.dataplane.early_requests import EarlyRequests
-from eiderhub.dataplane.frontend import ClientExchange, ClientSink, RefundingSink, request_head
+from eiderhub.dataplane.frontend import ClientExchange, ClientSink, RefundingSink
 from eiderhub.dataplane.items import CALL_TIMEOUT_S, ItemRunner, token_usage
 from eiderhub.dataplane.routes import Route, RouteTable
 from eiderhub.http1 import Exchange
 from eiderhub.programs.settings import TierSettings
+from eiderhub.request_head import is_origin_form, request_head
 from eiderhub.transport.control_session import ControlSession, control_candidates, zone_of
 from eiderhub.transport.spending import ChargeResult, SpendingClient
 from eiderhub.transport.tasks import TaskSet
@@ -43,6 +44,7 @@
 STARTING_RETRY_AFTER_US = 600_000  # a configuration has usually arrived by then
 DEFAULT_TIMEOUT_MS = 2_000.0  # without a client timeout, while no route is known
 EARLY_CHECK_INTERVAL_S = 0.02  # between checks for expired early requests
+MAX_EVENT_ID_DIGITS = 18
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 log = logging.getLogger("edge")
@@ -263,6 +265,8 @@
             self._tasks.start(self._read_or_end_batch(exchange, target), exchange.abort)
         elif route is None:
             exchange.respond(HTTP_STATUS[ErrorKind.UNKNOWN])
+        elif not is_origin_form(exchange.url):
+            exchange.respond(HTTP_STATUS[ErrorKind.INVALID])
         elif not self._accepts(MAX_BATCH_CALL_S if route.kind == "batch" else time_left_s(exchange, route)):
             exchange.refuse(ErrorKind.NOT_READY, STOPPING_RETRY_AFTER_US)
         elif route.kind == "batch":
@@ -299,16 +303,18 @@
         route, admission = found
         headers = exchange.headers
         due_us = admission.now_us() + int(max(0.001, time_left_s(exchange, route) - TIMEOUT_MARGIN_S) * 1e6)
-        head = request_head(exchange.method, exchange.url, headers, exchange.body)
+        last_event_id = event_id(headers.get(b"last-event-id", b""))
+        forwarded = [
+            pair for pair in headers.items() if last_event_id == NO_EVENT_ID or pair[0] != b"last-event-id"
+        ]
+        head = request_head(exchange.method, exchange.url, forwarded, exchange.body)
         request_id = headers.get(b"request-id", b"")
         usage = token_usage(headers.get(b"token-usage", b"").decode("latin-1"))
         call = Call(
             f"{next(self._call_numbers)}", route, request_id, (head, exchange.body), due_us,
             exchange.client_address, usage, sink,
         )  # fmt: skip
-        last_event_id = headers.get(b"last-event-id", b"")
-        if last_event_id.isdigit():
-            call.last_event_id = int(last_event_id)
+        call.last_event_id = last_event_id
 
         def on_client_gone(_: Exchange) -> None:
             admission.abandon(call)
@@ -394,6 +400,11 @@
     return min(client_timeout_ms, route.timeout_ms) / 1000 - exchange.held_s
 
 
+def event_id(text: bytes) -> int:
+    """The number of a Last-Event-Id header, which each attempt then carries; NO_EVENT_ID if it is not one."""
+    return int(text) if text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS else NO_EVENT_ID
+
+
 def _parse_number(text: bytes | None, default: float) -> float:
     try:
         return float(text) if text else default
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -111,9 +111,7 @@
 
     @staticmethod
     def _refusal_reply(refusal: Refusal) -> Reply:
-        return Reply(
-            refusal.status, msgspec.json.encode({"error": refusal.kind.value, "why": refusal.reason})
-        )
+        return Reply(refusal.status, refusal.encode())
 
     def _status(self) -> Reply:
         """Return the status as known to this node, primary or not."""
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -243,11 +243,15 @@
         connection.send(await self._batch_calls.handle(message))
 
     def _limits_for(self, name: str) -> BatchLimits | None:
-        route = self._routes.by_name.get(name) if self._routes else None
-        if route is None:
+        if self._routes is None or (route := self._routes.by_name.get(name)) is None:
             return None
         return BatchLimits(
-            name, route.window_ms / 1000, route.retention_s, route.max_attempts, route.max_queued_tokens
+            name,
+            route.window_ms / 1000,
+            route.retention_s,
+            route.max_attempts,
+            route.max_queued_tokens,
+            self._routes.max_header_bytes,
         )
 
     def _has_space(self, body_bytes: int) -> bool:
--- a/tests/endpoint_support.py
+++ b/tests/endpoint_support.py
@@ -11,8 +11,8 @@
 from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.events import Event
-from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route
+from eiderhub.request_head import request_head
 from tests.http_requests import read_request
 
 TIMEOUT_S = 20.0
@@ -158,7 +158,7 @@
     def send(self, request_id: str) -> RecordingSink:
         sink = RecordingSink()
         headers = {b"host": b"h", b"request-id": request_id.encode()}
-        head = request_head(b"POST", b"/x", headers, b"body")
+        head = request_head(b"POST", b"/x", headers.items(), b"body")
         due_us = self.admission.now_us() + int(self.route.timeout_ms * 1000)
         call = Call(request_id, self.route, request_id.encode(), (head, b"body"), due_us, "t", (1, 1), sink)
         self.admission.submit(call)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -13,8 +13,8 @@
 
 from eiderhub.control.errors import ErrorKind
 from eiderhub.dataplane.admission import Admission, Call
-from eiderhub.dataplane.frontend import request_head
 from eiderhub.dataplane.routes import Route, RouteTable
+from eiderhub.request_head import request_head
 from tests.endpoint_support import (
     SERVICE,
     TIMEOUT_S,
@@ -43,7 +43,8 @@
 
 
 def make_item_call(admission: Admission, route: Route, name: str, sink: RecordingSink) -> Call:
-    head = (request_head(b"POST", b"/l/x", {b"Host": b"h", b"Request-Id": name.encode()}, b""), b"")
+    headers = [(b"Host", b"h"), (b"Request-Id", name.encode())]
+    head = (request_head(b"POST", b"/l/x", headers, b""), b"")
     due_us = admission.now_us() + ITEM_TIME_US
     return Call(f"item {name}", route, name.encode(), head, due_us, "batch lots", (10, 10), sink)
 
