Batch jobs, control: no id or name makes a write that the store refuses; a refused write is no failed disk

Cause: LMDB takes keys of 511 bytes, result/ID/N had 515. The store told that as a failed disk, the primary stepped down with all that shared the write, and the sidecar offered the result to the next one. Change: ids of over 496 bytes are stood for by their digest, from the sidecar on; names of tenants and machines likewise; a generation is checked before it is looked up; a configuration of over a fifth of the store gets 413. A write that the store refuses raises WriteRejected before anything changes, for its caller alone. Why it works: what is written under text from outside goes through two functions whose result fits; and what a store says of a write no longer says anything of its disk.

--- /dev/null
+++ b/eiderhub/batch/job_ids.py
@@ -0,0 +1,33 @@
+"""Ids of batch jobs: from the bytes that a client sends to the name under which the job is stored.
+
+PROTOCOL bounds an id only by the size of a request head. Ids that are too long for a key of the store are
+represented by their digest, in messages as well: storage nodes of earlier versions can hold such jobs.
+"""
+
+from __future__ import annotations
+
+from eiderhub.coordination.keys import MAX_KEY_BYTES, name_in_key
+
+JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX, ERRORS_PREFIX = "job/", "body/", "result/", "errors/"
+POSITION_DIGITS = 7
+MAX_NAME_BYTES = MAX_KEY_BYTES - len(f"{RESULT_PREFIX}/") - POSITION_DIGITS
+
+
+def stored_name(job_id: str) -> str:
+    """The name of a job in keys; that of a stored name is itself."""
+    return name_in_key(job_id, MAX_NAME_BYTES)
+
+
+def name_of_id(request_id: bytes) -> str:
+    """The name of the job with this `Request-Id`."""
+    return stored_name(request_id.decode("latin-1"))
+
+
+def result_key(job_id: str, position: int) -> str:
+    """The key of the result at a position."""
+    return f"{result_prefix(job_id)}{position:0{POSITION_DIGITS}d}"
+
+
+def result_prefix(job_id: str) -> str:
+    """What the keys of a job's results begin with."""
+    return f"{RESULT_PREFIX}{stored_name(job_id)}/"
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -15,17 +15,23 @@
 import msgspec
 from msgspec import Struct
 
+from eiderhub.batch.job_ids import (
+    BODY_PREFIX,
+    ERRORS_PREFIX,
+    JOB_PREFIX,
+    result_key,
+    result_prefix,
+    stored_name,
+)
 from eiderhub.batch.messages import ItemKey, Progress, RunItem
 from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.coordination.messages import Write
 from eiderhub.request_head import UnsendableRequest, item_head
 
-JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX, ERRORS_PREFIX = "job/", "body/", "result/", "errors/"
 MAX_ITEM_HEAD_BYTES = 64 << 10  # without a configured limit
 MAX_ITEM_TOKENS = 1e12
 MAX_SHOWN_CHARACTERS = 60  # of an item's id, in an error message
 CHECK_HOST = "host"  # stands for the route's host where only the item is checked
-POSITION_DIGITS = 7
 NO_POSITION = -1
 MAX_ITEMS = 200
 MAX_PAGE_BYTES = 1_000_000  # results in one answer
@@ -195,41 +201,56 @@
     def scan(self, prefix: str) -> Iterable[tuple[str, bytes]]: ...
 
 
-def _result_key(job: str, position: int) -> str:
-    return f"{RESULT_PREFIX}{job}/{position:0{POSITION_DIGITS}d}"
-
-
 class JobTable:
     def __init__(self, reader: Reader) -> None:
         self._reader = reader
         self.jobs: dict[str, Job] = {}
-        self._queued_tokens: dict[str, float] = {}  # tokens of unfinished items, by route
+        self._queued_tokens: dict[str, float]  # tokens of unfinished items, by route
         # By job, of those that have items to run, then by item.
-        self._submitted_items: dict[str, dict[str, SubmittedItem]] = {}
-        self._running: dict[str, dict[ItemKey, Item]] = {}  # by node
+        self._submitted_items: dict[str, dict[str, SubmittedItem]]
+        self._running: dict[str, dict[ItemKey, Item]]  # by node
+        # Ids that earlier versions accepted although results did not fit under them, by stored name.
+        self._long_ids: dict[str, str]
+        self._reset()
         self._mean_result_bytes = INITIAL_RESULT_BYTES  # moving average
 
     def load(self) -> None:
         """Rebuild the table from the store; everything in it is committed."""
+        self._reset()
+        for _, value in self._reader.scan(JOB_PREFIX):
+            self._load_job(msgspec.msgpack.decode(value, type=JobRecord))
+
+    def _reset(self) -> None:
         self.jobs = {}
         self._queued_tokens = {}
         self._submitted_items = {}
         self._running = {}
-        for _, value in self._reader.scan(JOB_PREFIX):
-            job = Job(msgspec.msgpack.decode(value, type=JobRecord))
-            job.committed = True
-            self.jobs[job.record.id] = job
-            for _, result in self._reader.scan(f"{RESULT_PREFIX}{job.record.id}/"):
-                record = msgspec.msgpack.decode(result, type=ResultRecord)
-                item = job.items[record.id]
-                item.state, item.position = ItemState.FINISHED, job.assigned_positions
-                job.assigned_positions += 1
-                job.waiting_count -= 1
-            job.committed_positions = job.assigned_positions
-            errors = self._reader.get(ERRORS_PREFIX + job.record.id)
-            for name, count in msgspec.msgpack.decode(errors, type=dict[str, int]).items() if errors else ():
-                job.items[name].errors = count
-            self._add_queued_tokens(job)
+        self._long_ids = {}
+
+    def _load_job(self, record: JobRecord) -> None:
+        job = Job(record)
+        job.committed = True
+        self.jobs[record.id] = job
+        if stored_name(record.id) != record.id:
+            self._long_ids[stored_name(record.id)] = record.id
+        for _, value in self._reader.scan(result_prefix(record.id)):
+            result = msgspec.msgpack.decode(value, type=ResultRecord)
+            item = job.items[result.id]
+            item.state, item.position = ItemState.FINISHED, job.assigned_positions
+            job.assigned_positions += 1
+            job.waiting_count -= 1
+        job.committed_positions = job.assigned_positions
+        errors = self._reader.get(ERRORS_PREFIX + record.id)
+        for name, count in msgspec.msgpack.decode(errors, type=dict[str, int]).items() if errors else ():
+            job.items[name].errors = count
+        self._add_queued_tokens(job)
+
+    def id_of(self, requested: str) -> str:
+        """The id in this table of the job that a sidecar asks for, by its id or its stored name."""
+        if requested in self.jobs:
+            return requested
+        name = stored_name(requested)
+        return self._long_ids.get(name, name)
 
     def _add_queued_tokens(self, job: Job) -> None:
         if job.record.ended:
@@ -370,7 +391,7 @@
             if finished and wall_time > record.accepted_at + retention_s:
                 self.jobs.pop(record.id)
                 self._submitted_items.pop(record.id, None)
-                results = [_result_key(record.id, position) for position in range(job.assigned_positions)]
+                results = [result_key(record.id, position) for position in range(job.assigned_positions)]
                 keys = [prefix + record.id for prefix in (JOB_PREFIX, BODY_PREFIX, ERRORS_PREFIX)] + results
                 return [Write(key, None) for key in keys]
         return []
@@ -391,7 +412,7 @@
         value = msgspec.msgpack.encode(record)
         pages = len(value) // STORE_PAGE_BYTES + 1
         self._mean_result_bytes += RESULT_MEAN_WEIGHT * (pages * STORE_PAGE_BYTES - self._mean_result_bytes)
-        writes = [Write(_result_key(key.job, job.assigned_positions), value)]
+        writes = [Write(result_key(key.job, job.assigned_positions), value)]
         self._set_state(item, ItemState.FINISHED)
         item.position = job.assigned_positions
         item.progress = None
@@ -418,7 +439,7 @@
         results: list[ResultRecord] = []
         size = 0
         for position in range(max(0, start), job.committed_positions):
-            value = self._reader.get(_result_key(job_id, position))
+            value = self._reader.get(result_key(job_id, position))
             if value is None or (results and size + len(value) > MAX_PAGE_BYTES):
                 break
             size += len(value)
@@ -434,8 +455,8 @@
     def _submitted(self, job_id: str) -> dict[str, SubmittedItem]:
         found = self._submitted_items.get(job_id)
         if found is None:
-            body = self._reader.get(BODY_PREFIX + job_id)
-            if body is None or job_id not in self.jobs:
+            body = self._reader.get(BODY_PREFIX + job_id) if job_id in self.jobs else None
+            if body is None:
                 return {}
             submission = msgspec.json.decode(body, type=Submission)
             found = {item.id: item for item in submission.requests}
--- a/eiderhub/control/change_processor.py
+++ b/eiderhub/control/change_processor.py
@@ -28,7 +28,7 @@
 from eiderhub.control.errors import ErrorKind, Refusal
 from eiderhub.coordination.commits import CommitOutcome, CommitQueue
 from eiderhub.coordination.replication import Replica
-from eiderhub.coordination.store import StoreFailed
+from eiderhub.coordination.store import StoreFailed, WriteRejected
 
 T = TypeVar("T")
 
@@ -138,11 +138,17 @@
         if isinstance(decision, Err):
             return self._refusal_result(pending, decision.err_value)
         accepted = decision.ok_value
+        try:
+            self._replica.store.check_writes(accepted.writes)
+        except WriteRejected as error:
+            return self._refusal_result(pending, Refusal(ErrorKind.TOO_LARGE, str(error)))
         try:
             if accepted.writes:
                 position = self._replica.propose(now, accepted.writes)
             else:
                 position = self._replica.position
+        except WriteRejected:  # the store is full
+            return ChangeResult(pending.caller, ChangeOutcome.NOT_PRIMARY)
         except StoreFailed:
             return ChangeResult(pending.caller, ChangeOutcome.UNKNOWN)
         self._in_progress = pending
@@ -154,8 +160,11 @@
         if isinstance(parsed, Err):
             return parsed
         document = parsed.ok_value
+        generation = configuration.requested_generation(document)
+        if isinstance(generation, Err):
+            return generation
         last_purged = int(self._state.get(LAST_PURGED_KEY) or 0)
-        recorded_digest = self._state.get(f"{CHANGE_DIGEST_PREFIX}{document.get('generation')}")
+        recorded_digest = self._state.get(f"{CHANGE_DIGEST_PREFIX}{generation.ok_value}")
         decision = configuration.decide(self._document, recorded_digest, last_purged, change, document)
         return decision.map(self._with_purge)
 
--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -255,6 +255,14 @@
     return patch if apply_patch(old, patch).unwrap() == new else None
 
 
+def requested_generation(document: Document) -> Result[int, Refusal]:
+    """The generation that a change asks for."""
+    generation = document.get("generation")
+    if not isinstance(generation, int) or isinstance(generation, bool) or generation > MAX_GENERATION:
+        return _invalid(f"generation: must be an integer up to {MAX_GENERATION}")
+    return Ok(generation)
+
+
 def decide(
     current: Document | None,
     recorded_digest: bytes | None,
@@ -269,9 +277,10 @@
         last_purged: the last generation whose digest has been purged.
         document: the parsed body of the change.
     """
-    generation = document.get("generation")
-    if not isinstance(generation, int) or isinstance(generation, bool) or generation > MAX_GENERATION:
-        return _invalid(f"generation: must be an integer up to {MAX_GENERATION}")
+    requested = requested_generation(document)
+    if isinstance(requested, Err):
+        return requested
+    generation = requested.ok_value
     if recorded_digest == change.digest:
         return Ok(Accepted(generation, []))
     if generation <= last_purged and change.base_generation < generation:
--- a/eiderhub/control/errors.py
+++ b/eiderhub/control/errors.py
@@ -13,6 +13,7 @@
     STALE_VERSION = "stale version"  # the request is based on a version that is not the current one
     UNKNOWN = "unknown"  # the resource does not exist
     TOO_FEW = "too few left"
+    TOO_LARGE = "too large"  # the store cannot take it
     NO_ROOM = "no room"  # a quota is exhausted
     NOT_READY = "not ready"  # not attempted; another node may serve the request
     UNCERTAIN = "uncertain"  # the request may have taken effect
@@ -24,6 +25,7 @@
     ErrorKind.STALE_VERSION: 412,
     ErrorKind.UNKNOWN: 404,
     ErrorKind.TOO_FEW: 409,
+    ErrorKind.TOO_LARGE: 413,
     ErrorKind.NO_ROOM: 429,
     ErrorKind.NOT_READY: 503,
     ErrorKind.UNCERTAIN: 504,
--- a/eiderhub/control/retirement.py
+++ b/eiderhub/control/retirement.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from eiderhub.control.messages import NodeRecord, Retirement, StorageReport
+from eiderhub.coordination.keys import prefixed_key
 from eiderhub.coordination.messages import Write
 from eiderhub.coordination.roster import address_of, host_of
 
@@ -23,16 +24,22 @@
 class RetireOrder(msgspec.Struct, frozen=True):
     identities: list[str]
     done: bool = False
+    node: str = ""  # its name, where the key holds only a digest of it
 
 
 def encode_order(name: str, order: RetireOrder) -> Write:
-    return Write(RETIRE_PREFIX + name, msgspec.json.encode(order))
+    key = prefixed_key(RETIRE_PREFIX, name)
+    node = "" if key == RETIRE_PREFIX + name else name
+    return Write(key, msgspec.json.encode(msgspec.structs.replace(order, node=node)))
 
 
 def decode_orders(entries: Iterable[tuple[str, bytes]]) -> dict[str, RetireOrder]:
     """Decode the orders in the control state, by machine name."""
-    decode = msgspec.json.Decoder(RetireOrder).decode
-    return {key.removeprefix(RETIRE_PREFIX): decode(value) for key, value in entries}
+    orders = {}
+    for key, value in entries:
+        order = msgspec.json.decode(value, type=RetireOrder)
+        orders[order.node or key.removeprefix(RETIRE_PREFIX)] = order
+    return orders
 
 
 def retirement_records(orders: Mapping[str, RetireOrder]) -> list[Retirement]:
@@ -68,7 +75,7 @@
         return order
     new_identities = [n.identity for n in nodes if n.name == name and n.identity not in order.identities]
     if new_identities:
-        return RetireOrder(order.identities + new_identities)
+        return msgspec.structs.replace(order, identities=order.identities + new_identities)
     if report is not None and is_empty(order, report):
-        return RetireOrder(order.identities, done=True)
+        return msgspec.structs.replace(order, done=True)
     return order
--- a/eiderhub/control/spending.py
+++ b/eiderhub/control/spending.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from eiderhub.control.configuration import Document
+from eiderhub.coordination.keys import prefixed_key
 from eiderhub.coordination.messages import Write
 
 LEASED_PREFIX = "spending/"
@@ -51,15 +52,15 @@
     """The tokens leased and remaining for each tenant, on the primary."""
 
     def __init__(self) -> None:
-        self._leased: dict[str, int] = {}
+        self._leased: dict[str, int] = {}  # by key of the control state
         self._tenants: dict[str, Tenant] = {}
 
     def load(self, stored: dict[str, bytes]) -> None:
         """Load the totals leased by earlier primaries, by key of the control state."""
-        self._leased = {
-            key.removeprefix(LEASED_PREFIX): msgspec.json.decode(value, type=int)
-            for key, value in stored.items()
-        }
+        self._leased = {key: msgspec.json.decode(value, type=int) for key, value in stored.items()}
+
+    def _leased_to(self, name: str) -> int:
+        return self._leased.get(prefixed_key(LEASED_PREFIX, name), 0)
 
     def set_tenants(self, tenants: dict[str, Tenant]) -> None:
         self._tenants = tenants
@@ -67,7 +68,7 @@
     def remaining(self, name: str) -> int:
         """The tokens of the cap that have not been leased."""
         tenant = self._tenants.get(name)
-        return max(0, tenant.cap_tokens - self._leased.get(name, 0)) if tenant else 0
+        return max(0, tenant.cap_tokens - self._leased_to(name)) if tenant else 0
 
     def exhausted(self) -> list[str]:
         """The tenants whose cap is used up."""
@@ -86,11 +87,13 @@
 
     def return_tokens(self, name: str, tokens: int) -> list[Write]:
         """Return unused tokens of a lease to the cap; returns the writes."""
-        return self._record(name, -min(tokens, self._leased.get(name, 0))) if name in self._tenants else []
+        return self._record(name, -min(tokens, self._leased_to(name))) if name in self._tenants else []
 
     def _record(self, name: str, tokens: int) -> list[Write]:
-        self._leased[name] = self._leased.get(name, 0) + tokens
-        return [Write(LEASED_PREFIX + name, msgspec.json.encode(self._leased[name]))]
+        leased = self._leased_to(name) + tokens
+        key = prefixed_key(LEASED_PREFIX, name)
+        self._leased[key] = leased
+        return [Write(key, msgspec.json.encode(leased))]
 
 
 class LeaseBalances:
--- a/eiderhub/coordination/replication.py
+++ b/eiderhub/coordination/replication.py
@@ -59,7 +59,7 @@
     Update,
     Write,
 )
-from eiderhub.coordination.store import INITIAL_POSITION, ReplicaStore, StoreFailed
+from eiderhub.coordination.store import INITIAL_POSITION, ReplicaStore, StoreFailed, WriteRejected
 from eiderhub.coordination.timing import GroupSize, Timing, majority, tolerated_losses
 from eiderhub.coordination.witness import REFUSED, WitnessView, decide
 
@@ -237,14 +237,18 @@
         """On the primary: make writes durable locally and replicate them; they may never be committed.
 
         Raises:
+            WriteRejected: the store can never take them; nothing has changed.
             StoreFailed: the local store failed, and the replica has stepped down.
         """
         if self.role is not Role.PRIMARY:
             raise StoreFailed("this replica is not the primary")
+        self.store.check_writes(writes)
         update = Update(Position(self.epoch, self.position.version + 1), writes)
         previous = self.position
         try:
             self.store.apply([update])
+        except WriteRejected:
+            raise
         except StoreFailed:
             self._step_down(now)
             raise
--- a/eiderhub/coordination/store.py
+++ b/eiderhub/coordination/store.py
@@ -14,6 +14,10 @@
     """The state could not be made durable; the call has had no effect."""
 
 
+class WriteRejected(StoreFailed):
+    """The store can never take these writes, although its disk is sound; the call has had no effect."""
+
+
 class Chunk(NamedTuple):
     """A part of the state in key order."""
 
@@ -43,6 +47,13 @@
 
     def grant(self, epoch: int) -> None: ...
 
+    def check_writes(self, writes: Iterable[Write]) -> None:
+        """Check that the store can take these writes.
+
+        Raises:
+            WriteRejected: a key has a length that it does not support, or the values are too large.
+        """
+
     def apply(self, updates: list[Update]) -> None: ...
 
     def get(self, key: str) -> bytes | None: ...
--- a/eiderhub/programs/batch_calls.py
+++ b/eiderhub/programs/batch_calls.py
@@ -11,6 +11,7 @@
 from eiderhub.batch.jobs import BatchLimits, JobTable
 from eiderhub.batch.messages import Answer, EndJob, ReadBody, ReadResults, Submit
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind, Refusal
+from eiderhub.coordination.store import WriteRejected
 from eiderhub.transport.group import CommitOutcomeUnknown, GroupDriver, NotPrimary
 from eiderhub.transport.spending import ChargeResult, SpendingClient
 
@@ -62,6 +63,7 @@
 
         That includes the answer that a job does not exist.
         """
+        message = msgspec.structs.replace(message, job=self._jobs.id_of(message.job))
         try:
             if isinstance(message, Submit):
                 return await self._submit(message)
@@ -121,11 +123,13 @@
             return self._refusal_answer(message.call, refusal)
         try:
             await self._group.write(submitted)
-        except NotPrimary:
+        except (NotPrimary, WriteRejected) as error:
             self._refund(message.route, tokens)
             if self._epoch == epoch:
                 self._jobs.discard(message.job)
-            raise
+            if isinstance(error, NotPrimary):
+                raise
+            return self._refusal_answer(message.call, Refusal(ErrorKind.TOO_LARGE, str(error)))
         self._jobs.mark_committed(message.job)
         self._on_job_accepted()
         return Answer(message.call, 202)
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 import zlib
 from collections.abc import Mapping
 from functools import partial
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 import msgspec
 import picologging as logging
 
 from eiderhub import address
+from eiderhub.batch.job_ids import name_of_id
 from eiderhub.batch.messages import Answer
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
@@ -35,7 +37,8 @@
 from eiderhub.transport.traffic import TRAFFIC
 from eiderhub.transport.wire_counts import WIRE_COUNTS
 
-LOTS_PATH, ITEMS_PATH = "/lots/", "/items/"
+LOTS_PATH, ITEMS_PATH = b"/lots/", b"/items/"
+MAX_POSITION = 10**9  # above all positions of results
 MAX_RESULT_WAIT_MS = 1000  # for a read of results to wait for new ones
 TIMEOUT_MARGIN_S = 0.025  # time for the answer to reach the client before its timeout
 MAX_BATCH_CALL_S = 2 * CALL_TIMEOUT_S + MAX_RESULT_WAIT_MS / 1000  # for a batch request to be answered
@@ -254,15 +257,14 @@
 
     def _route_request(self, exchange: ClientExchange) -> None:
         assert self._routes is not None
-        target = exchange.url.decode("latin-1")
-        host = exchange.headers.get(b"host", b"").decode("latin-1")
-        path = target.partition("?")[0]
-        route = self._routes.find(host.partition(":")[0], path)
+        host = exchange.headers.get(b"host", b"").decode(errors="surrogateescape")
+        path = exchange.url.partition(b"?")[0]
+        route = self._routes.find(host.partition(":")[0], path.decode("latin-1"))
         accesses_batch = path.startswith((LOTS_PATH, ITEMS_PATH)) and exchange.method in (b"GET", b"DELETE")
         if accesses_batch and not self._accepts(MAX_BATCH_CALL_S):
             exchange.refuse(ErrorKind.NOT_READY, STOPPING_RETRY_AFTER_US)
         elif accesses_batch and (route is None or route.kind == "batch"):
-            self._tasks.start(self._read_or_end_batch(exchange, target), exchange.abort)
+            self._tasks.start(self._read_or_end_batch(exchange), exchange.abort)
         elif route is None:
             exchange.respond(HTTP_STATUS[ErrorKind.UNKNOWN])
         elif not is_origin_form(exchange.url):
@@ -325,26 +327,27 @@
     # --- batch ---
 
     async def _submit_job(self, exchange: ClientExchange, route: Route) -> None:
-        job = exchange.headers.get(b"request-id", b"").decode("latin-1")
-        if exchange.method != b"POST" or not job:
+        request_id = exchange.headers.get(b"request-id", b"")
+        if exchange.method != b"POST" or not request_id:
             exchange.respond(HTTP_STATUS[ErrorKind.INVALID])
             return
-        self._send_answer(exchange, await self._item_runner.submit(job, route.name, exchange.body))
+        answer = await self._item_runner.submit(name_of_id(request_id), route.name, exchange.body)
+        self._send_answer(exchange, answer)
 
-    async def _read_or_end_batch(self, exchange: ClientExchange, target: str) -> None:
-        parts = urlsplit(target)
-        query = parse_qs(parts.query)
-        job = parts.path.rpartition("/")[2]
-        if parts.path.startswith(ITEMS_PATH):
+    async def _read_or_end_batch(self, exchange: ClientExchange) -> None:
+        path, _, query_text = exchange.url.partition(b"?")
+        query = parse_qs(query_text.decode("latin-1"))
+        job = name_of_id(path.rpartition(b"/")[2])
+        if path.startswith(ITEMS_PATH):
             answer = await self._item_runner.body(job, query.get("id", [""])[0])
         elif exchange.method == b"DELETE":
             answer = await self._item_runner.end(job)
             self._send_answer(exchange, answer)
             return
         else:
-            wait_ms = min(MAX_RESULT_WAIT_MS, _parse_number(exchange.headers.get(b"wait-ms"), 0.0))
-            start = query.get("start_after", ["0"])[0]
-            answer = await self._item_runner.read(job, int(start) if start.isdecimal() else 0, int(wait_ms))
+            wait_ms = min(MAX_RESULT_WAIT_MS, max(0.0, _parse_number(exchange.headers.get(b"wait-ms"), 0.0)))
+            start = _parse_position(query.get("start_after", ["0"])[0])
+            answer = await self._item_runner.read(job, start, int(wait_ms))
         if answer.status == HTTP_STATUS[ErrorKind.UNCERTAIN]:  # a read can simply be retried
             answer = Answer(answer.call, HTTP_STATUS[ErrorKind.NOT_READY])
         self._send_answer(exchange, answer)
@@ -405,8 +408,16 @@
     return int(text) if text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS else NO_EVENT_ID
 
 
+def _parse_position(text: str) -> int:
+    """A position in a job's results; 0 if it is not a number, and at most MAX_POSITION."""
+    if not text.isdecimal():
+        return 0
+    return int(text) if len(text) < len(str(MAX_POSITION)) else MAX_POSITION
+
+
 def _parse_number(text: bytes | None, default: float) -> float:
     try:
-        return float(text) if text else default
+        value = float(text) if text else default
     except ValueError:
         return default
+    return default if math.isnan(value) else value
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from urllib.parse import quote
 
 import msgspec
 import picologging as logging
@@ -18,6 +19,7 @@
 from eiderhub.control.messages import NodeRecord
 from eiderhub.control.retirement import RetireOrder
 from eiderhub.coordination.auxiliary import is_auxiliary
+from eiderhub.coordination.keys import prefixed_key
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.timing import tolerated_losses
 from eiderhub.storage.store import LmdbStore
@@ -107,7 +109,8 @@
         if primary is None or primary == self._node.identity or is_auxiliary(primary):
             return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
         host = address.parse_host_port(address_of(primary)).host
-        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{self._control_port}{call.path}")
+        path = quote(call.path, encoding="latin-1", errors="replace")
+        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{self._control_port}{path}")
 
     @staticmethod
     def _refusal_reply(refusal: Refusal) -> Reply:
@@ -181,7 +184,7 @@
         return Reply(HTTPStatus.OK, msgspec.json.encode({"state": state}))
 
     async def _retire(self, name: str) -> Reply:
-        stored_identity = self._store.get(STORAGE_IDENTITY_PREFIX + name)
+        stored_identity = self._store.get(prefixed_key(STORAGE_IDENTITY_PREFIX, name))
         if stored_identity is None:
             return Reply(HTTPStatus.NOT_FOUND)
         identity = stored_identity.decode()
--- a/eiderhub/programs/storage_group.py
+++ b/eiderhub/programs/storage_group.py
@@ -12,6 +12,7 @@
 from eiderhub.control.messages import NodeRecord, StorageReport
 from eiderhub.control.retirement import RetireOrder
 from eiderhub.coordination.auxiliary import is_auxiliary
+from eiderhub.coordination.keys import prefixed_key
 from eiderhub.coordination.messages import Write
 from eiderhub.coordination.roster import host_of
 from eiderhub.programs.operator_service import STORAGE_IDENTITY_PREFIX
@@ -93,11 +94,8 @@
         return not replica.membership_committed(self._group.now())
 
     async def _record_identities(self, nodes: list[NodeRecord]) -> None:
-        writes = [
-            Write(STORAGE_IDENTITY_PREFIX + n.name, n.identity.encode())
-            for n in nodes
-            if self._store.get(STORAGE_IDENTITY_PREFIX + n.name) != n.identity.encode()
-        ]
+        identities = {prefixed_key(STORAGE_IDENTITY_PREFIX, n.name): n.identity.encode() for n in nodes}
+        writes = [Write(key, value) for key, value in identities.items() if self._store.get(key) != value]
         if writes:
             await self._group.write(writes)
 
--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -17,20 +17,39 @@
 
 from eiderhub.coordination import recent_changes
 from eiderhub.coordination.forms import FORMAT_KEY, OWN_FORMATS, decode_format
+from eiderhub.coordination.keys import MAX_KEY_BYTES
 from eiderhub.coordination.messages import Position, Staged, Update, Write
-from eiderhub.coordination.store import INITIAL_POSITION, Chunk, StoreFailed
+from eiderhub.coordination.store import INITIAL_POSITION, Chunk, StoreFailed, WriteRejected
 
 STORE_VERSION = 1
 FILE_NAME = "replica.lmdb"
 MAP_SHARE_OF_DISK = 0.9  # part of `disk_mb` for the LMDB map, which holds the state and a staged snapshot
 MIN_MAP_BYTES = 4 << 20
 UNLIMITED_BYTES = 1 << 40
+# Of the map, for the values of one change: LMDB keeps what they replace until the next transaction, and a
+# snapshot of the state has to fit beside it.
+MAX_WRITE_SHARE = 0.2
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
 REOPEN_INTERVAL_S = 1.0  # between attempts to reopen a store after a disk failure
 ACTIVE_KEY, STAGED_KEY = b"active", b"staged"
 TABLES = (b"data", b"data-b")  # one holds the state, the other a staged snapshot
 
 
+def _check_writes(writes: Iterable[Write], limit_bytes: int) -> None:
+    """Check that a store with this limit can take the writes.
+
+    Raises:
+        WriteRejected: it cannot.
+    """
+    size = 0
+    for write in writes:
+        if not 0 < len(write.key.encode(errors="surrogatepass")) <= MAX_KEY_BYTES:
+            raise WriteRejected(f"key {write.key[:40]!r}... is empty or longer than {MAX_KEY_BYTES} bytes")
+        size += len(write.value or b"")
+    if size > MAX_WRITE_SHARE * limit_bytes:
+        raise WriteRejected(f"{size} bytes are too large for a store of {limit_bytes}")
+
+
 def _change_slot_key(slot: int) -> bytes:
     return b"tail/%d" % slot
 
@@ -228,6 +247,9 @@
                 transaction.put(EPOCH_KEY, str(epoch).encode(), db=self._meta)
             self._epoch = epoch
 
+    def check_writes(self, writes: Iterable[Write]) -> None:
+        _check_writes(writes, self.limit_bytes)
+
     def apply(self, updates: list[Update]) -> None:
         position = updates[-1].position
         change = recent_changes.changed_keys(self.position, updates)
@@ -288,6 +310,7 @@
         """A write transaction that is synced when it ends.
 
         Raises:
+            WriteRejected: LMDB does not take the write; the state is as before.
             StoreFailed: the write or its sync failed; the state is as before, or was read again from disk.
         """
         self._ensure_durable()
@@ -295,6 +318,10 @@
             with self._environment.begin(write=True) as transaction:
                 yield transaction
             self._environment.sync(True)
+        except (lmdb.BadValsizeError, lmdb.MapFullError) as error:
+            raise WriteRejected(
+                str(error)
+            ) from error  # the transaction was aborted, the environment is sound
         except (lmdb.Error, OSError) as error:
             self._failure = str(error)
             self._try_reopen()
@@ -333,8 +360,11 @@
                 transaction.put(key, write.value, db=table)
 
     def get(self, key: str) -> bytes | None:
+        encoded = key.encode(errors="surrogatepass")
+        if not 0 < len(encoded) <= MAX_KEY_BYTES:
+            return None  # no entry can have it
         with self._environment.begin() as transaction:
-            value = transaction.get(key.encode(), db=self._state_table)
+            value = transaction.get(encoded, db=self._state_table)
             return None if value is None else bytes(value)
 
     def scan(self, prefix: str) -> Iterator[tuple[str, bytes]]:
@@ -389,6 +419,9 @@
     def grant(self, epoch: int) -> None:
         self.epoch = max(self.epoch, epoch)
 
+    def check_writes(self, writes: Iterable[Write]) -> None:
+        _check_writes(writes, self.limit_bytes)
+
     def apply(self, updates: list[Update]) -> None:
         change = recent_changes.changed_keys(self.position, updates)
         if change is not None:
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -15,7 +15,7 @@
 from eiderhub.coordination.messages import ReplicaMessage, Write
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.roster import Roster, address_of
-from eiderhub.coordination.store import StoreFailed
+from eiderhub.coordination.store import StoreFailed, WriteRejected
 from eiderhub.coordination.wire import OWN_SUPPORT, Feature, WireSupport
 from eiderhub.transport.frame_connection import Connection, connect
 from eiderhub.transport.frames import Message
@@ -131,9 +131,11 @@
         """Return once the writes are committed.
 
         Raises:
+            WriteRejected: the store can never take them; nothing was written.
             NotPrimary: nothing was written.
             CommitOutcomeUnknown: the replica stopped being primary before the commit.
         """
+        self.replica.store.check_writes(writes)
         await self.commit(lambda: writes)
 
     async def wait_all_committed(self) -> None:
@@ -153,6 +155,7 @@
         with it, so a table is never ahead of the store within an epoch.
 
         Raises:
+            WriteRejected: the store can never take the writes; the epoch has ended.
             NotPrimary: nothing was changed, or the epoch has ended.
             CommitOutcomeUnknown: the replica stopped being primary before the commit.
         """
@@ -160,6 +163,8 @@
             raise NotPrimary
         try:
             writes = change()
+            # Checked here, so that the writes of others that share the next sync go on.
+            self.replica.store.check_writes(writes)
         except Exception:
             self._resign()  # the table may be partly changed
             raise
@@ -190,9 +195,10 @@
             if not self.leads():
                 raise NotPrimary
             position = self.replica.propose(self.now(), writes)
-        except NotPrimary:
+        except (NotPrimary, WriteRejected) as error:
             # The waiting callers have already changed their tables, which now differ from the store. Tables
             # are loaded from the store in a new epoch, so this one has to end.
+            log.warning("nothing was written, stepping down as primary: %r", error)
             self.replica.resign(self.now())
             self._fail_waiters(waiters, NotPrimary())
         except StoreFailed as error:
--- a/tests/model/items.py
+++ b/tests/model/items.py
@@ -19,7 +19,8 @@
 
 from eiderhub.batch.dispatch import Dispatcher, ReclaimReason, WorkerSession
 from eiderhub.batch.item_tracker import ItemTracker, OrderResult
-from eiderhub.batch.jobs import JOB_PREFIX, RESULT_PREFIX, BatchLimits, JobTable, ResultRecord
+from eiderhub.batch.job_ids import JOB_PREFIX, RESULT_PREFIX
+from eiderhub.batch.jobs import BatchLimits, JobTable, ResultRecord
 from eiderhub.batch.messages import (
     BatchMessage,
     CancelItem,
--- a/tests/outside_input.py
+++ b/tests/outside_input.py
@@ -71,3 +71,16 @@
         "": None,
     }
     return SOUND_ITEM | ({changed: values[changed]} if changed else {})
+
+
+def request_id(rng: random.Random) -> bytes:
+    """A `Request-Id` as an HTTP parser gives it: any bytes without control characters, trimmed."""
+    length = rng.choice((1, 8, 16, 30, 248, 490, 496, 497, 504, 505, 511, 512, 4_000, 16_000))
+    alphabet = rng.choice(
+        (b"0123456789abcdef", b"0/", b"a/%2F?# ;+&=", bytes(range(33, 127)), bytes(range(128, 256)))
+    )
+    drawn = bytes(rng.choices(alphabet, k=length)).strip(b" \t")
+    special = rng.choice(
+        (b"20261204", b"20261204/2", b"a/0000000", b"a", b"/", b"..", b"job", b"%00", b"sha256:00")
+    )
+    return rng.choice((drawn, drawn, special)) or b"0"
--- a/tests/test_item_requests.py
+++ b/tests/test_item_requests.py
@@ -18,9 +18,8 @@
 import pytest
 
 from eiderhub import request_head
+from eiderhub.batch.job_ids import BODY_PREFIX, JOB_PREFIX
 from eiderhub.batch.jobs import (
-    BODY_PREFIX,
-    JOB_PREFIX,
     BatchLimits,
     ItemRecord,
     JobRecord,
--- /dev/null
+++ b/tests/test_outside_ids.py
@@ -0,0 +1,216 @@
+"""Ids and names from outside in the stores: any that is accepted can be stored, read, ended and purged.
+
+See docs/incidents/id-too-long-for-the-store.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from eiderhub.batch import job_ids
+from eiderhub.batch.job_ids import BODY_PREFIX, JOB_PREFIX, name_of_id, result_key
+from eiderhub.batch.jobs import ItemRecord, JobRecord, JobTable, ResultPage
+from eiderhub.batch.messages import ItemKey
+from eiderhub.control import retirement
+from eiderhub.control.change_processor import ChangeOutcome, ChangeProcessor
+from eiderhub.control.configuration import Change
+from eiderhub.control.errors import ErrorKind, Refusal
+from eiderhub.control.retirement import RetireOrder
+from eiderhub.control.spending import LEASED_PREFIX, SpendingLedger, Tenant
+from eiderhub.coordination.keys import MAX_KEY_BYTES, prefixed_key
+from eiderhub.coordination.messages import Position, Update, Write
+from eiderhub.coordination.replication import Replica
+from eiderhub.coordination.store import WriteRejected
+from eiderhub.storage.store import LmdbStore
+from tests.items_support import ROUTE, Storage, running_harness, wait_for_results, wait_until
+from tests.test_jobs import LIMITS, SUBMITTED_AT, body_of
+
+SEEDS = range(12)
+JOBS_PER_SEED = 12
+ITEMS = ("x", "y")
+LONG_ID = "run-" + "7c41e09b52d6a3f8" * 31  # 500 characters: job/ID is a key, result/ID/0000000 is not
+LONG_NAME = "n" * 600
+PURGE_AFTER_S = 1_000.0
+
+
+class StoredTable:
+    """A job table on an LMDB store, whose writes are committed at once."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = LmdbStore(folder, 100.0, "identity")
+        self.table = JobTable(self.store)
+
+    def commit(self, writes: list[Write] | Refusal) -> None:
+        assert not isinstance(writes, Refusal), writes
+        if writes:
+            self.store.check_writes(writes)
+            self.store.apply([Update(Position(1, self.store.position.version + 1), writes)])
+
+    def submit(self, name: str) -> None:
+        job = self.table.id_of(name)
+        self.commit(self.table.submit(SUBMITTED_AT, job, LIMITS, body_of(*ITEMS, tokens=1.0)))
+        self.table.mark_committed(job)
+
+    def finish(self, name: str, item: str) -> None:
+        key = ItemKey(self.table.id_of(name), item)
+        self.commit(self.table.finish(key, True, f"{item} of {name}"))
+        self.table.mark_result_committed(key)
+
+    def texts(self, name: str) -> list[str] | None:
+        """The texts of a job's results; None if there is no such job."""
+        page = self.table.page(self.table.id_of(name), 0)
+        return [result.text for result in page.results] if isinstance(page, ResultPage) else None
+
+    def reload(self) -> None:
+        self.table = JobTable(self.store)
+        self.table.load()
+
+
+def test_job_that_an_older_version_stored_under_a_long_id_is_run_and_read(tmp_path: Path) -> None:
+    """Guards against a store of the version before in which such a job stands: its results did not fit."""
+    stored = StoredTable(tmp_path)
+    record = JobRecord(LONG_ID, ROUTE, SUBMITTED_AT, 10.0, 40.0, 3, [ItemRecord(i, 1.0) for i in ITEMS])
+    body = Write(BODY_PREFIX + LONG_ID, body_of(*ITEMS))
+    stored.commit([Write(JOB_PREFIX + LONG_ID, msgspec.msgpack.encode(record)), body])
+    name = name_of_id(LONG_ID.encode())
+    for asked in (name, LONG_ID):  # by a sidecar of this version, and of the one before
+        stored.reload()
+        assert stored.texts(asked) is not None
+    for item in ITEMS:
+        stored.finish(name, item)
+    stored.reload()
+    assert stored.texts(name) == [f"{item} of {name}" for item in ITEMS]
+
+
+def test_read_of_an_unknown_long_id_is_answered_and_ends_no_session(tmp_path: Path) -> None:
+    """Guards against a read that the store refuses: it closed the sidecar's session with the primary."""
+
+    async def test() -> None:
+        async with running_harness(tmp_path) as harness:
+            sidecar = await harness.add_sidecar("edge-0")
+            assert (await sidecar.runner.body(LONG_NAME, "x")).status == 404
+            assert (await sidecar.runner.read(LONG_NAME, 0, 0)).status == 404
+            assert await sidecar.submit(LONG_NAME, "x") == 202  # as a sidecar of the version before sends it
+            await wait_until(lambda: "x" in sidecar.admission.calls, "the item runs")
+            sidecar.admission.finish_item("x")
+            await wait_for_results(sidecar, LONG_NAME, "x")
+            await wait_for_results(sidecar, name_of_id(LONG_NAME.encode()), "x")
+            assert sidecar.proxy.session_count == 1
+
+    asyncio.run(test())
+
+
+# --- a write that the store refuses although its disk is sound ---
+
+
+def leading_replica(folder: Path) -> Replica:
+    """A primary alone in its group, on LMDB."""
+    replica = Replica("a@h:1", LmdbStore(folder, 8.0, "a@h:1"), 0.0, random.Random(1))
+    replica.bootstrap(["a@h:1"])
+    now = 0.0
+    while not replica.leads(now):
+        now += 0.05
+        replica.tick(now)
+    return replica
+
+
+UNSTORABLE = [Write("k" * (MAX_KEY_BYTES + 1), b""), Write("", b""), Write("k", bytes(4 << 20))]
+
+
+@pytest.mark.parametrize("write", UNSTORABLE, ids=["long key", "empty key", "large value"])
+def test_primary_whose_store_refuses_a_write_goes_on_to_lead(tmp_path: Path, write: Write) -> None:
+    """Guards against a refused write that is taken for a failed disk: each primary in turn stepped down."""
+    replica = leading_replica(tmp_path)
+    epoch, position = replica.epoch, replica.position
+    with pytest.raises(WriteRejected):
+        replica.propose(10.0, [Write("sound", b""), write])
+    assert (replica.epoch, replica.position) == (epoch, position)
+    assert replica.store.get("sound") is None
+    replica.propose(10.0, [Write("sound", b"1")])
+    assert replica.store.get("sound") == b"1"
+
+
+def test_refused_write_fails_for_its_caller_alone(tmp_path: Path) -> None:
+    """Guards against a refused write that takes those of other callers with it."""
+
+    async def test() -> None:
+        storage = Storage(tmp_path)
+        await storage.start()
+        group = storage.service.group
+        epoch = group.replica.epoch
+        sound = asyncio.ensure_future(group.write([Write("sound", b"1")]))
+        with pytest.raises(WriteRejected):
+            await group.write([UNSTORABLE[0]])
+        await sound
+        assert (group.leads(), group.replica.epoch) == (True, epoch)
+        storage.close()
+
+    asyncio.run(test())
+
+
+# --- control ---
+
+
+@pytest.mark.parametrize("generation", ["g" * MAX_KEY_BYTES, "1", None, True, 10**300, ["x"], {"a": 1}])
+def test_change_with_any_generation_is_refused_and_the_next_one_taken(
+    tmp_path: Path, generation: object
+) -> None:
+    """Guards against a generation that is no key: the look-up of its digest raised an error in the tick."""
+    replica = leading_replica(tmp_path)
+    processor: ChangeProcessor[str] = ChangeProcessor(replica, replica.store)  # type: ignore[arg-type]
+    body = {"generation": generation, "routes": [], "backends": []}
+    processor.submit(Change(0, False, json.dumps(body).encode()), "bad")
+    processor.submit(Change(0, False, json.dumps(body | {"generation": 1}).encode()), "good")
+    results = {result.caller: result for result in processor.step(0.3)}
+    assert results["bad"].refusal is not None and results["bad"].refusal.kind is ErrorKind.INVALID
+    assert results["good"].outcome is ChangeOutcome.ACKNOWLEDGED
+
+
+def test_configuration_that_the_store_cannot_hold_is_refused(tmp_path: Path) -> None:
+    """Guards against a change that is too large for the store: each control node in turn stepped down."""
+    replica = leading_replica(tmp_path)
+    processor: ChangeProcessor[str] = ChangeProcessor(replica, replica.store)  # type: ignore[arg-type]
+    body = {"generation": 1, "routes": [], "backends": [], "note": "x" * (3 << 20)}
+    processor.submit(Change(0, False, json.dumps(body).encode()), "large")
+    (result,) = processor.step(0.3)
+    assert result.refusal is not None and result.refusal.status == 413
+    assert replica.leads(0.3)
+
+
+def test_spending_of_a_tenant_with_a_long_name_is_stored_and_restored() -> None:
+    """Guards against a tenant's name that makes the write of its lease fail."""
+    ledger, names = SpendingLedger(), (LONG_NAME, LONG_NAME + "x", "t", prefixed_key("", LONG_NAME))
+    tenants = {name: Tenant(name, 10_000, frozenset()) for name in names}
+    ledger.set_tenants(tenants)
+    writes = [write for name in names for write in ledger.lease(name, 2_500).writes]
+    assert len({write.key for write in writes}) == len(names)
+    assert all(len(write.key.encode()) <= MAX_KEY_BYTES for write in writes)
+    restored = SpendingLedger()
+    restored.load({write.key: write.value or b"" for write in writes})
+    restored.set_tenants(tenants)
+    assert [restored.remaining(name) for name in names] == [7_500] * len(names)
+    assert LEASED_PREFIX + "t" in {write.key for write in writes}  # as the version before stores it
+
+
+def test_retire_order_keeps_the_name_of_its_node() -> None:
+    """Guards against a node's name that does not fit into a key."""
+    orders = {name: RetireOrder([f"{name[:3]}@h:1"]) for name in (LONG_NAME, LONG_NAME + "x", "storage-1")}
+    writes = [retirement.encode_order(name, order) for name, order in orders.items()]
+    assert all(len(write.key.encode()) <= MAX_KEY_BYTES for write in writes)
+    decoded = retirement.decode_orders((write.key, write.value or b"") for write in writes)
+    assert {name: order.identities for name, order in decoded.items()} == {
+        name: order.identities for name, order in orders.items()
+    }
+
+
+def test_result_keys_of_ids_up_to_the_limit_are_as_the_version_before_wrote_them() -> None:
+    """Guards against stores of the version before whose results are no longer found."""
+    longest = "a" * job_ids.MAX_NAME_BYTES
+    assert result_key(longest, 7) == f"result/{longest}/0000007"
+    assert len(result_key(longest, 7)) == MAX_KEY_BYTES
--- a/tests/test_wire_compatibility.py
+++ b/tests/test_wire_compatibility.py
@@ -10,7 +10,7 @@
 import pytest
 from msgspec import Struct
 
-from eiderhub.batch import jobs
+from eiderhub.batch import job_ids, jobs
 from eiderhub.batch.jobs import JobTable
 from eiderhub.control import retirement
 from eiderhub.control.configuration import CURRENT_KEY, parse_stored
@@ -130,7 +130,7 @@
     assert table.body("job-open", "i1") == b"i1"
     page = table.page("job-done", 0)
     assert isinstance(page, jobs.ResultPage) and {each.state for each in page.results} == {"succeeded"}
-    assert store.get(jobs.ERRORS_PREFIX + "job-open") is not None
+    assert store.get(job_ids.ERRORS_PREFIX + "job-open") is not None
 
 
 def test_control_node_continues_with_the_store_of_an_older_revision(
