Batch jobs: ids that meet in a prefix keep apart, and a table is loaded whole or not at all

Cause: results were looked for by prefix; the load of the table ended at the first foreign one, and the node led with what it had. Sidecars took the last part of a path for an id, undecoded. Change: a result's key is exact; a load that fails leaves an empty table, and a program that cannot apply a change of its replica ends the epoch; the id in a path is all that follows, percent-decoded as bytes. The property of drawn ids finds three planted faults, results by prefix among them. Why it works: position is the last part of a key and has a fixed length, so id and position are read off without doubt.

--- a/eiderhub/batch/job_ids.py
+++ b/eiderhub/batch/job_ids.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
+from urllib.parse import unquote_to_bytes
+
 from eiderhub.coordination.keys import MAX_KEY_BYTES, name_in_key
+from eiderhub.request_head import is_identifier
 
 JOB_PREFIX, BODY_PREFIX, RESULT_PREFIX, ERRORS_PREFIX = "job/", "body/", "result/", "errors/"
 POSITION_DIGITS = 7
@@ -23,11 +26,26 @@
     return stored_name(request_id.decode("latin-1"))
 
 
+def name_in_path(part: bytes) -> str | None:
+    """The name of the job whose id is percent-encoded in a path; None if no request can have that id."""
+    job_id = unquote_to_bytes(part)
+    return name_of_id(job_id) if is_identifier(job_id) else None
+
+
 def result_key(job_id: str, position: int) -> str:
     """The key of the result at a position."""
     return f"{result_prefix(job_id)}{position:0{POSITION_DIGITS}d}"
 
 
 def result_prefix(job_id: str) -> str:
-    """What the keys of a job's results begin with."""
+    """What the keys of a job's results begin with; keys of other jobs may begin with it too."""
     return f"{RESULT_PREFIX}{stored_name(job_id)}/"
+
+
+def is_result_key(key: str, prefix: str) -> bool:
+    """Whether a key that begins with the prefix of a job's results is that of one of them.
+
+    An id may hold slashes: the results of `a/2` are under `result/a/2/`, which begins with `result/a/`.
+    """
+    position = key.removeprefix(prefix)
+    return len(position) == POSITION_DIGITS and position.isdigit()
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -19,6 +19,7 @@
     BODY_PREFIX,
     ERRORS_PREFIX,
     JOB_PREFIX,
+    is_result_key,
     result_key,
     result_prefix,
     stored_name,
@@ -215,10 +216,17 @@
         self._mean_result_bytes = INITIAL_RESULT_BYTES  # moving average
 
     def load(self) -> None:
-        """Rebuild the table from the store; everything in it is committed."""
+        """Rebuild the table from the store; everything in it is committed.
+
+        If a record cannot be read, this raises and the table is empty: a part of it must not be served.
+        """
         self._reset()
-        for _, value in self._reader.scan(JOB_PREFIX):
-            self._load_job(msgspec.msgpack.decode(value, type=JobRecord))
+        try:
+            for _, value in self._reader.scan(JOB_PREFIX):
+                self._load_job(msgspec.msgpack.decode(value, type=JobRecord))
+        except Exception:
+            self._reset()
+            raise
 
     def _reset(self) -> None:
         self.jobs = {}
@@ -233,12 +241,14 @@
         self.jobs[record.id] = job
         if stored_name(record.id) != record.id:
             self._long_ids[stored_name(record.id)] = record.id
-        for _, value in self._reader.scan(result_prefix(record.id)):
-            result = msgspec.msgpack.decode(value, type=ResultRecord)
-            item = job.items[result.id]
-            item.state, item.position = ItemState.FINISHED, job.assigned_positions
-            job.assigned_positions += 1
-            job.waiting_count -= 1
+        prefix = result_prefix(record.id)
+        for key, value in self._reader.scan(prefix):
+            if is_result_key(key, prefix):
+                result = msgspec.msgpack.decode(value, type=ResultRecord)
+                item = job.items[result.id]
+                item.state, item.position = ItemState.FINISHED, job.assigned_positions
+                job.assigned_positions += 1
+                job.waiting_count -= 1
         job.committed_positions = job.assigned_positions
         errors = self._reader.get(ERRORS_PREFIX + record.id)
         for name, count in msgspec.msgpack.decode(errors, type=dict[str, int]).items() if errors else ():
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -16,7 +16,7 @@
 import picologging as logging
 
 from eiderhub import address
-from eiderhub.batch.job_ids import name_of_id
+from eiderhub.batch.job_ids import name_in_path, name_of_id
 from eiderhub.batch.messages import Answer
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
@@ -337,8 +337,12 @@
     async def _read_or_end_batch(self, exchange: ClientExchange) -> None:
         path, _, query_text = exchange.url.partition(b"?")
         query = parse_qs(query_text.decode("latin-1"))
-        job = name_of_id(path.rpartition(b"/")[2])
-        if path.startswith(ITEMS_PATH):
+        reads_body = path.startswith(ITEMS_PATH)
+        job = name_in_path(path.removeprefix(ITEMS_PATH if reads_body else LOTS_PATH))
+        if job is None:
+            exchange.respond(HTTP_STATUS[ErrorKind.UNKNOWN])
+            return
+        if reads_body:
             answer = await self._item_runner.body(job, query.get("id", [""])[0])
         elif exchange.method == b"DELETE":
             answer = await self._item_runner.end(job)
--- a/eiderhub/transport/group.py
+++ b/eiderhub/transport/group.py
@@ -268,10 +268,14 @@
     async def _run_ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.update_members()
-            self.replica.tick(self.now())
-            self._process_changes()
-            self.log_health(self.now())
+            try:
+                self.update_members()
+                self.replica.tick(self.now())
+                self._process_changes()
+                self.log_health(self.now())
+            except Exception as error:  # without this task the replica would neither follow nor vote
+                log.error("tick of the replica failed: %r", error)
+                self.replica.resign(self.now())
 
     def log_health(self, now: float) -> None:
         """Log when the group, as its primary sees it, begins to bear too few losses, and when that ends."""
@@ -308,10 +312,18 @@
         if self.replica.members != self._logged_members:
             self._logged_members = self.replica.members
             log.info("members %s", " ".join(sorted(self._logged_members)))
-        self._on_change()
+        self._notify_program()
         if self.replica.outbox:
             self._process_changes()
 
+    def _notify_program(self) -> None:
+        """Call `on_change`; if it fails on a primary, end the epoch, since its tables may be incomplete."""
+        try:
+            self._on_change()
+        except Exception as error:
+            log.error("could not apply a change of the replica, not leading with it: %r", error)
+            self.replica.resign(self.now())
+
     def _log_unreadable_format(self) -> None:
         record_format = self.replica.unreadable_format
         if record_format is not None and not self._unreadable_logged:
--- a/tests/test_outside_ids.py
+++ b/tests/test_outside_ids.py
@@ -9,12 +9,13 @@
 import json
 import random
 from pathlib import Path
+from urllib.parse import quote_from_bytes
 
 import msgspec
 import pytest
 
 from eiderhub.batch import job_ids
-from eiderhub.batch.job_ids import BODY_PREFIX, JOB_PREFIX, name_of_id, result_key
+from eiderhub.batch.job_ids import BODY_PREFIX, JOB_PREFIX, name_in_path, name_of_id, result_key
 from eiderhub.batch.jobs import ItemRecord, JobRecord, JobTable, ResultPage
 from eiderhub.batch.messages import ItemKey
 from eiderhub.control import retirement
@@ -28,6 +29,8 @@
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.store import WriteRejected
 from eiderhub.storage.store import LmdbStore
+from eiderhub.transport.group import NotPrimary
+from tests import outside_input
 from tests.items_support import ROUTE, Storage, running_harness, wait_for_results, wait_until
 from tests.test_jobs import LIMITS, SUBMITTED_AT, body_of
 
@@ -72,6 +75,70 @@
         self.table.load()
 
 
+def play_jobs(folder: Path, seed: int) -> None:
+    """Submit, run, reload, read by path, end and purge jobs with drawn ids; each has its own results."""
+    rng = random.Random(seed)
+    drawn = {outside_input.request_id(rng) for _ in range(JOBS_PER_SEED)} | {b"20261204", b"20261204/2"}
+    ids = sorted(drawn)
+    stored = StoredTable(folder)
+    names = {each: name_of_id(each) for each in ids}
+    assert len(set(names.values())) == len(ids)
+    for name in names.values():
+        stored.submit(name)
+    for name in names.values():
+        stored.finish(name, ITEMS[0])
+    stored.reload()
+    for request_id, name in names.items():
+        path = quote_from_bytes(request_id, safe=rng.choice(("", "/"))).encode()
+        assert name_in_path(path) == name
+        assert stored.texts(name) == [f"{ITEMS[0]} of {name}"]
+    ended, *others = rng.sample(sorted(names.values()), len(names))
+    stored.commit(stored.table.end(stored.table.id_of(ended)))
+    for name in others:
+        stored.finish(name, ITEMS[1])
+    stored.reload()
+    for name in others:
+        assert stored.texts(name) == [f"{item} of {name}" for item in ITEMS]
+    while writes := stored.table.purge_expired(SUBMITTED_AT + PURGE_AFTER_S, 1.0):
+        stored.commit(writes)
+    stored.reload()
+    assert not stored.table.jobs
+    assert list(stored.store.scan("")) == []
+    stored.store.close()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_jobs_with_any_ids_keep_apart(tmp_path: Path, seed: int) -> None:
+    """Guards against an id that makes a write fail, or whose results are taken for those of another job."""
+    play_jobs(tmp_path, seed)
+
+
+def _any_key(key: str, prefix: str) -> bool:
+    return key.startswith(prefix)
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("MAX_NAME_BYTES", 504), ("is_result_key", _any_key), ("unquote_to_bytes", bytes)],
+)
+def test_property_finds_a_planted_fault(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, name: str, value: object
+) -> None:
+    """Planted: names as long as job/NAME allows, results by prefix alone, paths that are not decoded."""
+    monkeypatch.setattr(job_ids, name, value)
+    if name == "is_result_key":
+        monkeypatch.setattr("eiderhub.batch.jobs.is_result_key", value)
+    with pytest.raises((AssertionError, WriteRejected, KeyError)):
+        for seed in SEEDS:
+            play_jobs(tmp_path / str(seed), seed)
+
+
+@pytest.mark.parametrize("part", [b"", b"%20a", b"a%20", b"a%0Ab", b"a%00"])
+def test_path_that_no_request_id_can_have_names_no_job(part: bytes) -> None:
+    """Guards against a path that reads a job by the digest that stands for its id."""
+    assert name_in_path(part) is None
+
+
 def test_job_that_an_older_version_stored_under_a_long_id_is_run_and_read(tmp_path: Path) -> None:
     """Guards against a store of the version before in which such a job stands: its results did not fit."""
     stored = StoredTable(tmp_path)
@@ -154,6 +221,25 @@
     asyncio.run(test())
 
 
+def test_primary_that_cannot_load_its_table_does_not_lead(tmp_path: Path) -> None:
+    """Guards against a table that is loaded in part: jobs after the bad record were answered 404."""
+
+    async def test() -> None:
+        storage = Storage(tmp_path)
+        await storage.start()
+        service = storage.service
+        await service.group.write([Write(JOB_PREFIX + "a", b"not a record")])
+        service.group.replica.resign(service.group.now())
+        await wait_until(lambda: service._epoch > 1, "the node has tried to lead again")
+        assert not service.group.leads()
+        with pytest.raises(NotPrimary):
+            await service.group.write([])
+        assert not service._jobs.jobs
+        storage.close()
+
+    asyncio.run(test())
+
+
 # --- control ---
 
 
