Streams: only a stream with the events that follow completes one that has begun

Cause: any answer below 500 counted as success of the attempt, and whether it ended the call as an answer or as the end of its stream was inferred elsewhere, from events having come. Change: one module judges a response by itself and by how far its call is. To a continuation, a 422 ends an item as a dead letter; every other status, a success that is no stream and a stream without events are failed attempts; a live stream without another attempt is cut. After an empty continuation an item is run from its first event. A stream goes on elsewhere only where its route allows it and its last event had an id. Why it works: completed is said in one place, which sees the events of this very response.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -21,6 +21,7 @@
 from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.endpoint_connections import EndpointPool, Exchange, Headers
 from eiderhub.dataplane.events import Event, EventParser
+from eiderhub.dataplane.response_verdict import CallProgress, Response, Verdict, judge
 from eiderhub.dataplane.routes import Route
 from eiderhub.interface import (
     Effect,
@@ -60,7 +61,16 @@
 DEFAULT_TENANT = "default"
 BATCH_TENANT = "batch"
 TOKENS_PER_ITEM = 1_000  # for converting a token quota to a rate of items
-NOT_EXECUTED_HEADER = b"not-executed"
+NOT_EXECUTED_HEADER, SIGNATURE_HEADER = b"not-executed", b"response-signature"
+INTERNAL_ERROR_STATUS = 500
+# What the balancer is told of an attempt, and whether the endpoint may have executed it.
+OUTCOMES = {
+    Verdict.COMPLETED: (Outcome.OK, True),
+    Verdict.ANSWERED: (Outcome.OK, True),
+    Verdict.FAILED: (Outcome.ERROR, True),
+    Verdict.NOT_EXECUTED: (Outcome.FULL, False),
+    Verdict.WRONG_INSTANCE: (Outcome.CONNECT_FAILED, False),
+}
 PEER_CALLS_TTL_US = 1_000_000  # age at which a report of other sidecars' calls is ignored
 
 log = logging.getLogger("admission")
@@ -122,6 +132,7 @@
         "deadline_timer",
         "deadline_us",
         "exchange",
+        "has_empty_continuation",
         "key",
         "last_event_id",
         "no_further_attempts",
@@ -167,11 +178,21 @@
         self.server_errors = 0  # responses with status 500
         self.no_further_attempts = False  # the route now leads to another service
         self.response: tuple[int, Headers, bytes] | None = None  # the last one that was not a stream
+        self.has_empty_continuation = False  # an endpoint had nothing after `last_event_id`
+
+    @property
+    def is_item(self) -> bool:
+        return self.route.kind == "batch"
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether another attempt may follow: a stream that has begun has to say where it goes on."""
+        return not self.response_started or (self.route.resumes_streams and self.last_event_id != NO_EVENT_ID)
 
     @property
     def traffic_kind(self) -> str:
         """The label under which traffic with endpoints is counted."""
-        return "item" if self.route.kind == "batch" else "request"
+        return "item" if self.is_item else "request"
 
 
 class Attempt:
@@ -189,6 +210,8 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self._parser: EventParser | None = None
+        self._event_count = 0  # with an id or data
+        self._continues = call.last_event_id != NO_EVENT_ID  # asked for the rest of a stream
         self.finished = False
         self._activity = admission.activity(endpoint)
         self._activity.on_sent(call.tokens[0])
@@ -242,10 +265,15 @@
     def _accept_event(self, event: Event) -> bool:
         call = self._call
         self._admission.response_count += 1
+        if event.id < 0 and event.data and self._continues:
+            return False  # nothing says that it is the next one
         if call.last_event_id != NO_EVENT_ID and event.id >= 0 and event.id != call.last_event_id + 1:
             return False
         if event.id >= 0:
             call.last_event_id = event.id
+        if event.id >= 0 or event.data:
+            self._event_count += 1
+            call.has_empty_continuation = False
         now = self._admission.now_us()
         if self._first_event_us:
             self._activity.on_event(now)
@@ -262,29 +290,33 @@
         if self.finished:
             return
         self._admission.response_count += 1
-        headers_by_name = {name.lower(): value for name, value in self._headers}
-        if self._parser is not None:
-            if self._parser.has_partial_event or not self._call.response_started:
-                self._abort_exchange()
-            else:
-                self._end(Outcome.OK, True)
-        elif NOT_EXECUTED_HEADER in headers_by_name:
-            self._end(Outcome.FULL, False)
-        elif self._status == 421:
-            self._end(Outcome.CONNECT_FAILED, False)
-        else:
-            self._complete_response(b"response-signature" in headers_by_name)
-
-    def _complete_response(self, signed: bool) -> None:
         call = self._call
-        body = b"".join(self._body)
-        if self._status < 300 and (call.response_started or not signed):
+        progress = CallProgress(call.response_started, call.is_item)
+        verdict = judge(self._response(), progress)
+        if self._parser is None and verdict in (Verdict.ANSWERED, Verdict.FAILED):
+            call.response = (self._status, self._headers, b"".join(self._body))
+            call.server_errors += self._status == INTERNAL_ERROR_STATUS
+        call.has_empty_continuation |= self._is_empty_continuation()
+        if verdict is Verdict.BROKEN:
             self._abort_exchange()
-            return
-        call.response = (self._status, self._headers, body)
-        call.server_errors += self._status == 500
-        final = self._status < 500
-        self._end(Outcome.OK if final else Outcome.ERROR, True, final)
+        else:
+            outcome, may_have_run = OUTCOMES[verdict]
+            self._end(outcome, may_have_run, verdict)
+
+    def _response(self) -> Response:
+        names = {name.lower() for name, _ in self._headers}
+        return Response(
+            status=self._status,
+            is_stream=self._parser is not None,
+            event_count=self._event_count,
+            ends_in_event=self._parser is not None and self._parser.has_partial_event,
+            signed=SIGNATURE_HEADER in names,
+            not_executed=NOT_EXECUTED_HEADER in names,
+        )
+
+    def _is_empty_continuation(self) -> bool:
+        """Whether the endpoint was asked for the rest of a stream and says that there is nothing left."""
+        return self._continues and self._parser is not None and self._event_count == 0
 
     def on_failed(self, may_have_been_sent: bool) -> None:
         if not self.finished:
@@ -300,11 +332,11 @@
         """Remove this attempt from the endpoint's estimated load."""
         self._activity.on_ended(self._call.tokens[0], self._first_event_us > 0)
 
-    def _end(self, outcome: Outcome, may_have_run: bool, final: bool = True) -> None:
+    def _end(self, outcome: Outcome, may_have_run: bool, verdict: Verdict = Verdict.BROKEN) -> None:
         self.finished = True
         self.release_load()
         latency_us = max(1, (self._first_event_us or self._admission.now_us()) - self.started_us)
-        self._admission.on_attempt_ended(self._call, self, outcome, may_have_run, latency_us, final)
+        self._admission.on_attempt_ended(self._call, self, outcome, may_have_run, latency_us, verdict)
 
 
 class Admission:
@@ -567,7 +599,13 @@
     # --- outcomes of attempts ---
 
     def on_attempt_ended(
-        self, call: Call, attempt: Attempt, outcome: Outcome, may_have_run: bool, latency_us: int, final: bool
+        self,
+        call: Call,
+        attempt: Attempt,
+        outcome: Outcome,
+        may_have_run: bool,
+        latency_us: int,
+        verdict: Verdict,
     ) -> None:
         balancer = call.balancer
         assert balancer is not None
@@ -575,12 +613,14 @@
         call.possible_runs += may_have_run
         succeeded = outcome is Outcome.OK
         if succeeded and self._close_call(call):
-            if call.response_started:
+            if verdict is Verdict.COMPLETED:
                 call.sink.finish()
             elif call.response is not None:
                 call.sink.answer(*call.response)
-        attempts_exhausted = call.no_further_attempts or (
-            may_have_run and call.possible_runs >= call.route.max_attempts
+        attempts_exhausted = (
+            call.no_further_attempts
+            or not call.can_continue
+            or (may_have_run and call.possible_runs >= call.route.max_attempts)
         )
         if not succeeded and attempts_exhausted and call.key in self._calls:
             self._fail_call(call)
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -37,6 +37,7 @@
 from eiderhub.dataplane.admission import BATCH_TENANT, NO_EVENT_ID, Admission, Call
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.events import Event
+from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS
 from eiderhub.dataplane.routes import Route
 from eiderhub.request_head import HOST_FIELD, UnsendableRequest, item_head
 from eiderhub.transport.frame_connection import Connection, connect
@@ -47,7 +48,6 @@
 ACCEPT_TIMEOUT_S = 0.6  # a storage node that has not accepted the session by then is not the primary
 CALL_TIMEOUT_S = 1.6  # for a session, and then for the primary's response, whose absence is UNCERTAIN
 IDLE_METRIC_AFTER_S = 4.0  # items without progress for this long get a metric of their own
-UNPROCESSABLE_STATUS = 422
 ITEM_TIMEOUT_S = 60.0  # limit of an item's execution on this sidecar
 CHECK_INTERVAL_S = 0.25  # of items and the session
 # An item without progress for this long is returned. An endpoint whose machine has lost power sends neither
@@ -82,13 +82,23 @@
         """Whether a randomly chosen endpoint accepts a connection."""
 
 
+# Replaces what the primary has of an item, so that its next run begins at the first event.
+NO_PROGRESS = Progress(NO_EVENT_ID, [])
+
+
+def started_progress(order: RunItem) -> Progress | None:
+    """What earlier runs of the item have received; None if it has to be run from its first event."""
+    return None if order.progress == NO_PROGRESS else order.progress
+
+
 class RunningItem:
     """One item that this sidecar runs; implements admission's `ResponseSink`."""
 
     def __init__(self, runner: ItemRunner, order: RunItem) -> None:
         self._runner = runner
         self.key = order.key
-        self.texts: list[str] = list(order.progress.texts) if order.progress else []
+        earlier = started_progress(order)
+        self.texts: list[str] = list(earlier.texts) if earlier is not None else []
         self._started = False
         self.last_progress_at = runner.now()
         self._no_data_checks = 0  # consecutive checks without data from any endpoint
@@ -167,8 +177,11 @@
         return f"at {self.call.current_attempt.endpoint}"
 
     def progress(self) -> Progress | None:
+        """What to continue from elsewhere; None if nothing has been received."""
         if self.call is None or self.call.last_event_id == NO_EVENT_ID:
             return None
+        if self.call.has_empty_continuation:
+            return NO_PROGRESS  # an endpoint has nothing after it, which a whole run can show to be true
         return Progress(self.call.last_event_id, self.texts)
 
     def return_message(self, reason: ReturnReason) -> ItemReturned:
@@ -418,8 +431,9 @@
             tokens,
             item,
         )
-        if order.progress is not None:
-            call.last_event_id = order.progress.last_event
+        progress = started_progress(order)
+        if progress is not None:
+            call.last_event_id = progress.last_event
             call.response_started = True
         call.possible_runs = order.errors
         item.call, item.admission = call, admission
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -38,6 +38,11 @@
         """Whether a request may be executed more than once."""
         return self.resumable or self.kind in ("idempotent", "batch")
 
+    @property
+    def resumes_streams(self) -> bool:
+        """Whether another endpoint may continue a stream that has begun."""
+        return self.resumable or self.kind == "batch"
+
     def choose_service(self, rng: random.Random) -> str:
         if len(self.services) == 1:
             return self.services[0][0]
--- a/tests/endpoint_support.py
+++ b/tests/endpoint_support.py
@@ -138,7 +138,9 @@
     kind: str, max_attempts: int = 3, resumable: bool = False, timeout_ms: float = 3000.0
 ) -> Route:
     services = ((SERVICE, 1.0),)
-    return Route("r", "h", "/", kind, timeout_ms, 500.0, 0, max_attempts, resumable, services, 0.0, 0.0, 0.0)
+    return Route(
+        "r", "h", "/", kind, timeout_ms, 500.0, 0, max_attempts, resumable, services, 1000.0, 0.0, 0.0
+    )
 
 
 class AdmissionHarness:
@@ -157,12 +159,15 @@
 
     def send(self, request_id: str) -> RecordingSink:
         sink = RecordingSink()
+        self.submit(request_id, sink)
+        return sink
+
+    def submit(self, request_id: str, sink: RecordingSink) -> None:
         headers = {b"host": b"h", b"request-id": request_id.encode()}
         head = request_head(b"POST", b"/x", headers.items(), b"body")
         due_us = self.admission.now_us() + int(self.route.timeout_ms * 1000)
         call = Call(request_id, self.route, request_id.encode(), (head, b"body"), due_us, "t", (1, 1), sink)
         self.admission.submit(call)
-        return sink
 
     async def request(self, request_id: str) -> RecordingSink:
         """Send a request and wait for its end."""
--- /dev/null
+++ b/tests/test_continuations.py
@@ -0,0 +1,251 @@
+"""What ends a stream that has begun: only a stream with the rest of its events completes it.
+
+See docs/incidents/continuation-refused.md.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from eiderhub.control.errors import ErrorKind
+from eiderhub.dataplane import admission
+from eiderhub.dataplane.admission import NO_EVENT_ID
+from eiderhub.dataplane.endpoint_connections import Headers
+from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS, CallProgress, Response, Verdict
+from eiderhub.dataplane.routes import Route
+from tests.endpoint_support import (
+    TIMEOUT_S,
+    AdmissionHarness,
+    EndpointRequest,
+    RecordingSink,
+    ScriptedEndpoint,
+    make_route,
+)
+from tests.items_support import running_harness, wait_for_results, wait_until
+
+EVENTS = 5
+SEEDS = range(40)
+STATUSES = (201, 204, 301, 304, 307, 400, 404, 409, 410, 413, UNPROCESSABLE_STATUS, 429, 500, 502, 503, 504)
+STREAM_HEAD = (
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    "Request-Id: {id}\r\nResponse-Signature: s\r\n\r\n"
+)
+
+
+class EndSink(RecordingSink):
+    """Tells how a call has ended."""
+
+    end = ""
+
+    def finish(self) -> None:
+        self.end = "finished"
+        super().finish()
+
+    def abort(self) -> None:
+        self.end = "aborted"
+        super().abort()
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        self.end = f"answered {status}"
+        super().answer(status, headers, body)
+
+    def refuse(self, kind: ErrorKind, retry_after_us: int) -> None:
+        self.end = f"refused {kind.value}"
+        super().refuse(kind, retry_after_us)
+
+
+def stream(request: EndpointRequest, *events: str, end: bytes = b"0\r\n\r\n") -> bytes:
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(each), each.encode()) for each in events)
+    return STREAM_HEAD.format(id=request.id).encode() + chunks + end
+
+
+def event(number: int) -> str:
+    return f"id: {number}\ndata: {number}\n\n"
+
+
+Continuation = Callable[[EndpointRequest, int], bytes]  # given the first event that is missing
+
+
+def plain(status: int, **fields: str) -> Continuation:
+    return lambda request, first: request.answer(b"no", status, **fields)
+
+
+CONTINUATIONS: dict[str, Continuation] = {
+    "whole": lambda request, first: stream(request, *map(event, range(first, EVENTS))),
+    "success that is no stream": plain(200),
+    "unsigned success": plain(200, Response_Signature=""),
+    "empty stream": lambda request, first: stream(request),
+    "comments alone": lambda request, first: stream(request, ": ping\n\n"),
+    "events without ids": lambda request, first: stream(request, *["data: x\n\n"] * (EVENTS - first)),
+    "another run from its start": lambda request, first: stream(request, *map(event, range(EVENTS))),
+    "a gap": lambda request, first: stream(request, *map(event, range(first + 1, EVENTS))),
+    "ends in an event": lambda request, first: stream(request, *map(event, range(first, 4)), "id: 4\nda"),
+    "cut": lambda request, first: stream(request, event(first), end=b""),
+    **{f"status {status}": plain(status) for status in STATUSES},
+}  # fmt: skip
+
+
+class Endpoints:
+    """Endpoints that cut the first run after some events and answer each further one as drawn."""
+
+    def __init__(self, cut_after: int, continuations: list[str]) -> None:
+        self._cut_after = cut_after
+        self._remaining = list(continuations)
+        self.answered: list[str] = []
+
+    async def serve(self, request: EndpointRequest) -> None:
+        last = int(request.headers.get("last-event-id", "-1"))
+        if last < 0:
+            request.send(stream(request, *map(event, range(self._cut_after)), end=b""))
+            request.writer.close()
+            return
+        name = self._remaining.pop(0) if self._remaining else "whole"
+        self.answered.append(name)
+        request.send(CONTINUATIONS[name](request, last + 1))
+        if name == "cut":
+            request.writer.close()
+
+
+async def run_call(route: Route, endpoints: Endpoints) -> EndSink:
+    """Run one call to its end."""
+    harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", endpoints.serve) for n in range(4)))
+    await harness.start(route)
+    sink = EndSink()
+    harness.submit("a", sink)
+    async with asyncio.timeout(TIMEOUT_S):
+        await sink.ended.wait()
+    harness.stop()
+    return sink
+
+
+def check_end(sink: EndSink, endpoints: Endpoints, is_item: bool) -> None:
+    """Completed means every event, once; the only other last word is a 422 to an item."""
+    numbers = [each.id for each in sink.events if each.id >= 0]
+    assert numbers == list(range(len(numbers)))
+    assert sink.end_count == 1
+    unprocessable = f"status {UNPROCESSABLE_STATUS}" in endpoints.answered
+    if sink.end == "finished":
+        assert len(numbers) == EVENTS
+        assert endpoints.answered[-1] == "whole"
+    elif is_item and unprocessable:
+        assert sink.end == f"answered {UNPROCESSABLE_STATUS}"
+    else:
+        assert sink.end == "aborted"
+
+
+def play(seed: int, is_item: bool) -> EndSink:
+    rng = random.Random(seed)
+    endpoints = Endpoints(rng.randrange(1, EVENTS), rng.choices(list(CONTINUATIONS), k=2))
+    route = make_route("batch" if is_item else "streaming", max_attempts=rng.choice((2, 3)), resumable=True)
+    sink = asyncio.run(run_call(route, endpoints))
+    check_end(sink, endpoints, is_item)
+    return sink
+
+
+@pytest.mark.parametrize("is_item", [True, False], ids=["item", "live"])
+def test_stream_is_complete_only_with_every_event_whatever_its_continuation_gets(is_item: bool) -> None:
+    """Guards against an answer to a continuation that is taken for the end of the stream."""
+    ends = {play(seed, is_item).end for seed in SEEDS}
+    assert {"finished", "aborted"} <= ends
+
+
+@pytest.mark.parametrize("name", CONTINUATIONS)
+@pytest.mark.parametrize("is_item", [True, False], ids=["item", "live"])
+def test_each_answer_to_a_continuation(name: str, is_item: bool) -> None:
+    """Guards against each kind of answer being taken for the end of the stream."""
+
+    async def test() -> None:
+        endpoints = Endpoints(2, [name] * 3)
+        route = make_route("batch" if is_item else "streaming", max_attempts=2, resumable=True)
+        sink = await run_call(route, endpoints)
+        check_end(sink, endpoints, is_item)
+        unprocessable = is_item and name == f"status {UNPROCESSABLE_STATUS}"
+        expected = (
+            "finished"
+            if name == "whole"
+            else f"answered {UNPROCESSABLE_STATUS}"
+            if unprocessable
+            else "aborted"
+        )
+        assert sink.end == expected
+
+    asyncio.run(test())
+
+
+def _ends_every_stream(response: Response, call: CallProgress) -> Verdict:
+    """As before: whatever is no server error is the end."""
+    return Verdict.COMPLETED if call.begun and response.status < 500 else Verdict.FAILED
+
+
+def _empty_is_whole(response: Response, call: CallProgress) -> Verdict:
+    return Verdict.COMPLETED if response.is_stream else Verdict.FAILED
+
+
+@pytest.mark.parametrize("fault", [_ends_every_stream, _empty_is_whole])
+def test_property_finds_a_planted_verdict(
+    monkeypatch: pytest.MonkeyPatch, fault: Callable[[Response, CallProgress], Verdict]
+) -> None:
+    """Planted: an answer ends the stream that has begun, an empty stream completes one."""
+    monkeypatch.setattr(admission, "judge", fault)
+    with pytest.raises(AssertionError):
+        for seed in SEEDS:
+            play(seed, is_item=True)
+
+
+@pytest.mark.parametrize(("kind", "resumable"), [("idempotent", False), ("streaming", False)])
+def test_stream_that_may_not_be_resumed_is_cut(kind: str, resumable: bool) -> None:
+    """Guards against a continuation where the route allows none."""
+    endpoints = Endpoints(2, [])
+    sink = asyncio.run(run_call(make_route(kind, max_attempts=3, resumable=resumable), endpoints))
+    assert (sink.end, endpoints.answered) == ("aborted", [])
+
+
+def test_stream_without_ids_is_not_started_again_behind_its_first_events() -> None:
+    """Guards against pieces of two runs in one stream."""
+    runs = itertools.count()
+
+    async def serve(request: EndpointRequest) -> None:
+        next(runs)
+        request.send(stream(request, "data: a\n\n", end=b""))
+        request.writer.close()
+
+    async def test() -> EndSink:
+        harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(3)))
+        await harness.start(make_route("streaming", max_attempts=3, resumable=True))
+        sink = EndSink()
+        harness.submit("a", sink)
+        async with asyncio.timeout(TIMEOUT_S):
+            await sink.ended.wait()
+        harness.stop()
+        return sink
+
+    sink = asyncio.run(test())
+    assert (sink.end, len(sink.events), next(runs)) == ("aborted", 1, 1)
+
+
+def test_item_with_an_empty_continuation_is_run_from_its_start(tmp_path: Path) -> None:
+    """Guards against an item that is asked for the rest of a whole text for ever, or ends without it."""
+
+    async def test() -> None:
+        async with running_harness(tmp_path) as harness:
+            sidecar = await harness.add_sidecar("edge-0")
+            assert await sidecar.submit("job", "a") == 202
+            await wait_until(lambda: "a" in sidecar.admission.calls, "the item runs")
+            sidecar.admission.start_item("a")
+            call = sidecar.admission.calls["a"]
+            call.last_event_id, call.has_empty_continuation = 0, True
+            sidecar.admission.fail_item("a")
+            await wait_until(lambda: "a" in sidecar.admission.calls, "the item runs again")
+            call = sidecar.admission.calls["a"]
+            assert (call.last_event_id, call.response_started) == (NO_EVENT_ID, False)
+            sidecar.admission.finish_item("a")
+            await wait_for_results(sidecar, "job", "a")
+            assert b'"text":"text of a"' in (await sidecar.runner.read("job", 0, 0)).body
+
+    asyncio.run(test())
