Requests: resumable makes only streaming routes repeatable

Cause: Route.repeatable was true for resumable alone, whatever the kind, and the balancer and the refusal after a run went by it. Change: repeatable are idempotent and batch routes, and streaming ones with resumable. A stream goes on elsewhere only on a route that is both. An item stays an item, whatever kind its route has become.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -133,6 +133,7 @@
         "deadline_us",
         "exchange",
         "has_empty_continuation",
+        "is_item",
         "key",
         "last_event_id",
         "no_further_attempts",
@@ -161,6 +162,7 @@
     ) -> None:
         self.key = key
         self.route = route
+        self.is_item = route.kind == "batch"
         self.request_id = request_id
         self.request = request  # request line and headers; body
         self.deadline_us = deadline_us
@@ -180,14 +182,11 @@
         self.response: tuple[int, Headers, bytes] | None = None  # the last one that was not a stream
         self.has_empty_continuation = False  # an endpoint had nothing after `last_event_id`
 
-    @property
-    def is_item(self) -> bool:
-        return self.route.kind == "batch"
-
     @property
     def can_continue(self) -> bool:
         """Whether another attempt may follow: a stream that has begun has to say where it goes on."""
-        return not self.response_started or (self.route.resumes_streams and self.last_event_id != NO_EVENT_ID)
+        resumes = self.is_item or self.route.resumes_streams
+        return not self.response_started or (resumes and self.last_event_id != NO_EVENT_ID)
 
     @property
     def traffic_kind(self) -> str:
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -431,6 +431,7 @@
             tokens,
             item,
         )
+        call.is_item = True  # also if its route is of another kind by now
         progress = started_progress(order)
         if progress is not None:
             call.last_event_id = progress.last_event
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -35,13 +35,16 @@
 
     @property
     def repeatable(self) -> bool:
-        """Whether a request may be executed more than once."""
-        return self.resumable or self.kind in ("idempotent", "batch")
+        """Whether a request may be executed more than once.
+
+        `resumable` speaks of streams: it makes those of a streaming route repeatable, and no other kind.
+        """
+        return self.kind in ("idempotent", "batch") or (self.kind == "streaming" and self.resumable)
 
     @property
     def resumes_streams(self) -> bool:
         """Whether another endpoint may continue a stream that has begun."""
-        return self.resumable or self.kind == "batch"
+        return self.resumable and self.repeatable
 
     def choose_service(self, rng: random.Random) -> str:
         if len(self.services) == 1:
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -198,7 +198,9 @@
             play(seed, is_item=True)
 
 
-@pytest.mark.parametrize(("kind", "resumable"), [("idempotent", False), ("streaming", False)])
+@pytest.mark.parametrize(
+    ("kind", "resumable"), [("idempotent", False), ("streaming", False), ("non_idempotent", True)]
+)
 def test_stream_that_may_not_be_resumed_is_cut(kind: str, resumable: bool) -> None:
     """Guards against a continuation where the route allows none."""
     endpoints = Endpoints(2, [])
