Configuration: whatever is acknowledged is applied, a null in an engine too

Cause: kv_capacity_tokens has no type in the schema, and RouteTable converted whatever it was. Change: a value that is no number is the default. A spending cap written as 5.0 is a whole number. Why it works: no conversion is left that the schema's values do not fit.

--- a/eiderhub/control/spending.py
+++ b/eiderhub/control/spending.py
@@ -35,7 +35,7 @@
         if "spending_cap_tokens" in item:
             routes = frozenset(item.get("routes", []))
             tenants[item["name"]] = Tenant(
-                item["name"], min(item["spending_cap_tokens"], MAX_CAP_TOKENS), routes
+                item["name"], min(int(item["spending_cap_tokens"]), MAX_CAP_TOKENS), routes
             )
     return tenants
 
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -87,6 +87,12 @@
         return None
 
 
+def number_or(value: Any, default: float) -> float:
+    """A configured value that the schema does not check; the default if it is no number."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return value if is_number else default
+
+
 def clamped(value: float) -> float:
     """A configured number clamped to the supported range; 0 and negative numbers become 0."""
     return min(max(float(value), MIN_NUMBER), MAX_NUMBER) if value > 0 else 0.0
@@ -117,5 +123,5 @@
         name=entry["name"],
         capacity=int(clamped(engine.get("capacity", DEFAULT_CAPACITY))),
         max_connections=int(clamped(entry.get("max_connections", 0))),
-        kv_tokens=int(clamped(engine.get("kv_capacity_tokens", 0))),
+        kv_tokens=int(clamped(number_or(engine.get("kv_capacity_tokens"), 0))),
     )
