Requests: a header in several lines is passed on whole, and a second Host is refused

Cause: headers were kept by name, the last one winning. Change: the values of a repeated header are one list, as RFC 9110 reads them; two Host lines get 400, since routing and endpoint could go by different ones. Why it works: what the parser gives is joined where it is read, before anything looks at it.

--- a/eiderhub/dataplane/frontend.py
+++ b/eiderhub/dataplane/frontend.py
@@ -147,7 +147,15 @@
         self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        super().on_header(name, value.strip(OPTIONAL_WHITESPACE))
+        """Add a header; the values of a repeated one are one list (RFC 9110, section 5.3)."""
+        value = value.strip(OPTIONAL_WHITESPACE)
+        earlier = self._incoming.headers.get(name.lower()) if self._incoming is not None else None
+        if earlier is not None:
+            if name.lower() == b"host":
+                self.refuse(400)
+                raise ValueError("request for two hosts")
+            value = b"%s, %s" % (earlier, value)
+        super().on_header(name, value)
 
     def _serve_request(self, exchange: Exchange) -> None:
         assert isinstance(exchange, ClientExchange)
