Requests: a Token-Usage beyond any number of tokens is counted as the largest

Callers saw their connection closed without an answer, on a route of a tenant with a spending cap, when Token-Usage held a number above 2^64. Cause: the number went into a message as it was, and no message holds it. Change: numbers above 10^12 count as 10^12. Why it works: every reader of the header takes it from the one function.

--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -49,6 +49,7 @@
 CALL_TIMEOUT_S = 1.6  # for a session, and then for the primary's response, whose absence is UNCERTAIN
 IDLE_METRIC_AFTER_S = 4.0  # items without progress for this long get a metric of their own
 ITEM_TIMEOUT_S = 60.0  # limit of an item's execution on this sidecar
+MAX_TOKENS = 10**12  # of a Token-Usage header; more are counted as so many
 CHECK_INTERVAL_S = 0.25  # of items and the session
 # An item without progress for this long is returned. An endpoint whose machine has lost power sends neither
 # data nor a reset, and would otherwise hold the item for ITEM_TIMEOUT_S.
@@ -530,6 +531,11 @@
     """Prompt tokens and the output limit of a Token-Usage header; zeros if it is missing or invalid."""
     prompt, _, max_output = header.partition(",")
     try:
-        return max(0, int(prompt)), max(0, int(max_output))
+        return _clamped_tokens(int(prompt)), _clamped_tokens(int(max_output))
     except ValueError:
         return 0, 0
+
+
+def _clamped_tokens(tokens: int) -> int:
+    """A number of tokens that sums and messages can hold."""
+    return min(max(0, tokens), MAX_TOKENS)
--- a/tests/test_dataplane.py
+++ b/tests/test_dataplane.py
@@ -7,7 +7,7 @@
 from eiderhub.dataplane.activity import TYPICAL_EVENT_GAP_US, EndpointActivity
 from eiderhub.dataplane.admission import batch_tenant, class_name, request_class
 from eiderhub.dataplane.events import EventParser
-from eiderhub.dataplane.items import token_usage
+from eiderhub.dataplane.items import MAX_TOKENS, token_usage
 from eiderhub.dataplane.routes import RouteTable
 from eiderhub.interface import Effect
 
@@ -103,7 +103,17 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "tokens"), [("1460,80", (1460, 80)), ("", (0, 0)), ("x", (0, 0)), ("5", (0, 0))]
+    ("text", "tokens"),
+    [
+        ("1460,80", (1460, 80)),
+        ("", (0, 0)),
+        ("x", (0, 0)),
+        ("5", (0, 0)),
+        ("-1,5", (0, 5)),
+        ("9" * 30 + ",1", (MAX_TOKENS, 1)),
+        ("9" * 5000 + ",1", (0, 0)),
+    ],
 )
 def test_token_usage_header_is_parsed(text: str, tokens: tuple[int, int]) -> None:
+    """Also guards against a number that no message holds: the request of a capped tenant got no answer."""
     assert token_usage(text) == tokens
