Soak: ids of any form, headers that name other requests, continuations with any answer

Clients' ids end in a number of their own, so that each job can be told; streams break off at three events in a hundred and three continuations in ten get an answer that is none (a 422 excepted, which ends an item).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,7 +42,7 @@
 def main(
     *, first: int = 0, count: int = 10, jobs: int = 2, edges: int = 4, storage: int = 4,
     seconds: float = 14.0, finish: float = 10.0, keep: str = "", older: str = "",
-    tolerated: int = 1, disks: bool = False,
+    tolerated: int = 1, disks: bool = False, odd: bool = False,
 ) -> None:  # fmt: skip
     """Run soaks for consecutive seeds.
 
@@ -56,13 +56,14 @@
     :param older: a revision, or "wire-1": processes are continually upgraded from it and downgraded to it
     :param tolerated: losses at once that the deployment is to bear
     :param disks: machines lose their disks, as many at once as are tolerated, in place of the other faults
+    :param odd: ids of any form, headers that name other requests, continuations with any answer
     :param keep: folder for the logs; a temporary one if it is not given
     """
     if older not in ("", WIRE_1):
         older = str(source_of(older, Path(tempfile.mkdtemp(prefix="soak-older-"), "source")))
     settings = SoakSettings(
         edges=edges, storage=storage, seconds=seconds, finish_s=finish, older=older,
-        tolerated_losses=tolerated, loses_disks=disks,
+        tolerated_losses=tolerated, loses_disks=disks, odd_input=odd,
     )  # fmt: skip
     with ProcessPoolExecutor(jobs) as pool:
         for line in pool.map(partial(play, settings=settings, keep=keep), range(first, first + count)):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -66,7 +66,7 @@
         status = 0
         response_headers: dict[str, str] = {}
         try:
-            writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\n" + body)
+            writer.write("".join(f"{line}\r\n" for line in lines).encode("latin-1") + b"\r\n" + body)
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             first, *rest = head.rstrip("\r\n").split("\r\n")
             status = int(first.split()[1])
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -11,6 +11,9 @@
 EVENTS_PER_STREAM = 4
 MEAN_EVENT_INTERVAL_S = 0.01  # between events of a stream
 POISON_SUFFIX = "p"  # no endpoint can process an item whose id has this suffix
+BREAK_SHARE = 0.03  # of events at which a stream breaks off, with odd answers
+EMPTY_STREAM = 0
+ODD_STATUSES = (EMPTY_STREAM, 200, 204, 301, 307, 400, 404, 410, 413, 500, 502, 504)
 RESET_SHARE, ERROR_SHARE, HANG_SHARE, NOT_EXECUTED_SHARE = 0.01, 0.02, 0.004, 0.01
 
 
@@ -38,8 +41,11 @@
 class Endpoint:
     """One endpoint on its own address, with its own identity."""
 
-    def __init__(self, identity: str, executions: ExecutionLog, rng: random.Random) -> None:
+    def __init__(
+        self, identity: str, executions: ExecutionLog, rng: random.Random, odd_share: float = 0.0
+    ) -> None:
         self.identity = identity
+        self._odd_share = odd_share  # of continuations that get an answer that is no continuation
         self._executions = executions
         self._rng = rng
         # By connection: the id of the request in progress, or empty.
@@ -83,7 +89,10 @@
             return True
         signature = self._executions.record_start(request_id, self.identity)
         draw = self._rng.random()
-        if request_id.endswith(POISON_SUFFIX):
+        if "last-event-id" in headers and self._rng.random() < self._odd_share:
+            self._executions.failed.add(request_id)
+            self._write_odd_continuation(writer, request_id, signature)
+        elif request_id.endswith(POISON_SUFFIX):
             self._write_response(writer, request_id, 422, b"", f"Response-Signature: {signature}\r\n")
         elif draw < ERROR_SHARE:
             self._executions.failed.add(request_id)
@@ -102,6 +111,14 @@
             await self._write_stream(headers, writer, request_id, signature)
         return True
 
+    def _write_odd_continuation(self, writer: asyncio.StreamWriter, request_id: str, signature: str) -> None:
+        """Answer the request for the rest of a stream with anything but that, a 422 excepted."""
+        status = self._rng.choice(ODD_STATUSES)
+        fields = f"Response-Signature: {signature}\r\n"
+        if status == EMPTY_STREAM:
+            status, fields = 200, fields + "Content-Type: text/event-stream\r\n"
+        self._write_response(writer, request_id, status, b"", fields)
+
     @staticmethod
     def _write_response(
         writer: asyncio.StreamWriter, request_id: str, status: int, body: bytes, extra_headers: str
@@ -122,6 +139,10 @@
         writer.write("".join(f"{line}\r\n" for line in lines).encode() + b"\r\n")
         for number in range(int(headers.get("last-event-id", -1)) + 1, EVENTS_PER_STREAM):
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_EVENT_INTERVAL_S))
+            if self._odd_share and number and self._rng.random() < BREAK_SHARE:
+                self._executions.failed.add(request_id)
+                writer.transport.abort()
+                return
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,9 @@
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
+from tests import outside_input
 from tests.soak.account import Account, BatchJob, Interruption, Request
 from tests.soak.clients import Connection, Outcome, Reply, now
 from tests.soak.endpoints import POISON_SUFFIX, Endpoint, ExecutionLog
@@ -19,6 +21,7 @@
 
 STOP_TIMEOUT_S = 8.0
 POLL_INTERVAL_S = 0.25
+ODD_SHARE = 0.3  # of continuations, with odd input
 START_TIMEOUT_S = 60.0
 FOUNDING_S = 6.0  # until the groups bear the tolerated losses
 CATCH_UP_S = 8.0  # generous beside `bounds.catch_up_s`, since all programs share one machine
@@ -40,9 +43,16 @@
     older: str = ""  # older programs for upgrades and downgrades: WIRE_1, or the folder of an older source
     upgrades_per_s: float = 1.5
     tolerated_losses: int = 1
+    # Job ids of any form, headers that name other requests, and continuations with any answer.
+    odd_input: bool = False
     loses_disks: bool = False  # as many machines as are tolerated lose their disks at once, again and again
 
 
+def path_part(job_id: str) -> str:
+    """A job's id, percent-encoded for a path."""
+    return quote(job_id, safe="/", encoding="latin-1")
+
+
 class Soak:
     """A tier of real programs, its clients and the faults that are injected into it."""
 
@@ -130,7 +140,10 @@
     # --- the start ---
 
     async def _add_endpoint(self) -> None:
-        endpoint = Endpoint(f"i-{next(self._serial)}", self.executions, random.Random(self.rng.random()))
+        odd_share = ODD_SHARE if self.settings.odd_input else 0.0
+        endpoint = Endpoint(
+            f"i-{next(self._serial)}", self.executions, random.Random(self.rng.random()), odd_share
+        )
         await endpoint.start()
         self._endpoints.append(endpoint)
 
@@ -138,7 +151,7 @@
         rng = self.rng
         timeout = rng.choice([3_000, 4_000, 5_000])
         routes = [
-            route("once", "non_idempotent", timeout_ms=timeout, resumable=False),
+            route("once", "non_idempotent", timeout_ms=timeout, resumable=self.settings.odd_input),
             route("whole", "idempotent", timeout_ms=timeout + rng.randrange(400), resumable=False),
         ]
         content = document(generation, *routes)
@@ -193,19 +206,33 @@
             number = next(self._serial)
             names = [f"i{number}-{n}" for n in range(self.rng.randint(1, 40))]
             items = [name + POISON_SUFFIX if self.rng.random() < 0.02 else name for name in names]
-            job = self.account.jobs[f"lot{number}"] = BatchJob(f"lot{number}", items)
+            job_id = self._job_id(number)
+            job = self.account.jobs[job_id] = BatchJob(job_id, items)
             if await self._submit_job(job):
                 for _ in range(self.rng.randint(0, 4)):
                     await self._read_results(job, self.rng.choice([0, len(job.results)]))
                     await asyncio.sleep(POLL_INTERVAL_S)
                 if self.rng.random() < 0.1:
                     job.cancelled = True
-                    await self._connection(self._pick_edge()).call("DELETE", f"/lots/{job.id}", Host=HOST)
+                    path = f"/lots/{path_part(job.id)}"
+                    await self._connection(self._pick_edge()).call("DELETE", path, Host=HOST)
             await asyncio.sleep(self.rng.expovariate(1 / 0.2))
 
+    def _job_id(self, number: int) -> str:
+        """An id of its own for a job."""
+        if not self.settings.odd_input:
+            return f"lot{number}"
+        return f"{outside_input.request_id(self.rng).decode('latin-1')}/{number}"
+
+    def _item_headers(self) -> dict[str, str]:
+        if not self.settings.odd_input:
+            return {"Token-Usage": "10,10"}
+        name = self.rng.choice(outside_input.CASES)(self.rng.choice(outside_input.CONTROLLING_NAMES))
+        return {"Token-Usage": "10,10", name: self.rng.choice(outside_input.PLAIN_VALUES)}
+
     async def _submit_job(self, job: BatchJob) -> bool:
         requests = [
-            {"id": i, "path": f"/lots/{i}", "headers": {"Token-Usage": "10,10"}, "tokens": 20,
+            {"id": i, "path": f"/lots/{i}", "headers": self._item_headers(), "tokens": 20,
              "body": base64.b64encode(i.encode()).decode()}
             for i in job.items
         ]  # fmt: skip
@@ -224,7 +251,7 @@
     async def _read_results(self, job: BatchJob, start: int) -> int:
         """Read a page of results and return their number, or -1 if the read failed."""
         connection = self._connection(self._pick_edge())
-        path = f"/lots/{job.id}?start_after={start}"
+        path = f"/lots/{path_part(job.id)}?start_after={start}"
         reply = await connection.call("GET", path, Host=HOST, Wait_Ms="200")
         connection.close()
         if reply.status != 200:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,12 @@
     play(seed, tmp_path, SETTINGS)
 
 
+@pytest.mark.parametrize("seed", [31, 32])
+def test_nothing_accepted_is_lost_with_any_ids_and_headers(tmp_path: Path, seed: int) -> None:
+    """Guards against input that well-behaved clients and endpoints never send."""
+    play(seed, tmp_path, SETTINGS._replace(odd_input=True))
+
+
 @pytest.mark.parametrize("seed", [21, 22])
 def test_nothing_acknowledged_is_lost_with_the_tolerated_disks(tmp_path: Path, seed: int) -> None:
     """Guards against acknowledged changes and results that stand on just the disks that are lost next."""
