Requests: a field behind the body changes no header

Callers saw the id, or the host, of a request replaced by a field of its trailer section (seen in the test, red before: the endpoint got the trailer's Request-Id). Cause: the parser reports trailers as it does headers, and the last one won. Change: what follows the body is dropped, which RFC 9110 allows. Measured: test_trailer_changes_no_header failed before and passes. Why it works: a head is closed where the parser says that it is complete.

--- a/eiderhub/dataplane/frontend.py
+++ b/eiderhub/dataplane/frontend.py
@@ -135,6 +135,7 @@
         super().__init__(self._serve_request, lambda: int(loop.time() * 1e6), connections, limits=bounds)
         self._handler = handler
         self._client_address = ""
+        self._head_complete = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -145,9 +146,18 @@
         self._incoming = ClientExchange(self, self._request_count == 0, self._clock(), self._client_address)
         self._request_count += 1
         self._head_bytes = 0
+        self._head_complete = False
+
+    def on_headers_complete(self) -> None:
+        self._head_complete = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; the values of a repeated one are one list (RFC 9110, section 5.3)."""
+        """Add a header; the values of a repeated one are one list (RFC 9110, section 5.3).
+
+        Fields of the trailer section, which follow the body, are dropped: they change no header.
+        """
+        if self._head_complete:
+            return
         value = value.strip(OPTIONAL_WHITESPACE)
         earlier = self._incoming.headers.get(name.lower()) if self._incoming is not None else None
         if earlier is not None:
--- a/tests/test_request_headers.py
+++ b/tests/test_request_headers.py
@@ -22,7 +22,10 @@
 }
 
 
-async def exchange(folder: Path, *lines: str) -> tuple[int, list[dict[str, str]]]:
+NO_BODY = "Content-Length: 0\r\n\r\n"
+
+
+async def exchange(folder: Path, *lines: str, rest: str = NO_BODY) -> tuple[int, list[dict[str, str]]]:
     """The status that a client gets, and the headers that the endpoint has read."""
     seen: list[dict[str, str]] = []
 
@@ -39,7 +42,7 @@
     loop = asyncio.get_running_loop()
     server = await loop.create_server(lambda: FrontendConnection(service, set()), "127.0.0.1", 0)
     reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
-    writer.write("\r\n".join(lines).encode() + b"\r\nContent-Length: 0\r\n\r\n")
+    writer.write(("\r\n".join(lines) + "\r\n" + rest).encode())
     async with asyncio.timeout(TIMEOUT_S):
         status = int((await reader.readline()).split()[1])
     writer.close()
@@ -48,8 +51,8 @@
     return status, seen
 
 
-def send(folder: Path, *lines: str) -> tuple[int, list[dict[str, str]]]:
-    return asyncio.run(exchange(folder, *lines))
+def send(folder: Path, *lines: str, rest: str = NO_BODY) -> tuple[int, list[dict[str, str]]]:
+    return asyncio.run(exchange(folder, *lines, rest=rest))
 
 
 def test_repeated_header_is_passed_on_whole(tmp_path: Path) -> None:
@@ -78,3 +81,14 @@
     """Guards against a fragment in a target, which endpoints may drop from the path."""
     status, seen = send(tmp_path, "POST /r/x#y HTTP/1.1", "Host: h", "Request-Id: a")
     assert (status, seen) == (400, [])
+
+
+def test_trailer_changes_no_header(tmp_path: Path) -> None:
+    """Guards against a field behind the body that takes the place of the request's id or host."""
+    trailers = "Request-Id: b\r\nHost: other\r\nX: 1\r\n"
+    rest = f"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n{trailers}\r\n"
+    status, seen = send(tmp_path, "POST /r/x HTTP/1.1", "Host: h", "Request-Id: a", rest=rest)
+    assert status == 200
+    assert [(headers["request-id"], headers["host"], "x" in headers) for headers in seen] == [
+        ("a", "h", False)
+    ]
