Batch items: one whose continuation is refused is run from its first event

Callers would have seen an item lie until its retention ends where endpoints no longer know what to go on from: each attempt asked for the rest again and got a 404, a success that is no stream, or other events. Cause: progress was kept whatever an endpoint had answered. Change: if an endpoint gives none of the rest without failing (anything complete below 500, or other events), the item is returned without progress once no attempt is left. Why it works: a whole run needs no continuation, and its text is one run's.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -21,7 +21,7 @@
 from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.endpoint_connections import EndpointPool, Exchange, Headers
 from eiderhub.dataplane.events import Event, EventParser
-from eiderhub.dataplane.response_verdict import CallProgress, Response, Verdict, judge
+from eiderhub.dataplane.response_verdict import FIRST_ERROR_STATUS, CallProgress, Response, Verdict, judge
 from eiderhub.dataplane.routes import Route
 from eiderhub.interface import (
     Effect,
@@ -128,11 +128,11 @@
     __slots__ = (
         "attempt_count",
         "balancer",
+        "continuation_refused",
         "current_attempt",
         "deadline_timer",
         "deadline_us",
         "exchange",
-        "has_empty_continuation",
         "is_item",
         "key",
         "last_event_id",
@@ -180,7 +180,7 @@
         self.server_errors = 0  # responses with status 500
         self.no_further_attempts = False  # the route now leads to another service
         self.response: tuple[int, Headers, bytes] | None = None  # the last one that was not a stream
-        self.has_empty_continuation = False  # an endpoint had nothing after `last_event_id`
+        self.continuation_refused = False  # an endpoint gave no event after `last_event_id`, without failing
 
     @property
     def can_continue(self) -> bool:
@@ -258,6 +258,7 @@
             return
         for event in self._parser.feed(data):
             if not self._accept_event(event):
+                self._note_refused_continuation()
                 self._abort_exchange()
                 return
 
@@ -272,7 +273,7 @@
             call.last_event_id = event.id
         if event.id >= 0 or event.data:
             self._event_count += 1
-            call.has_empty_continuation = False
+            call.continuation_refused = False
         now = self._admission.now_us()
         if self._first_event_us:
             self._activity.on_event(now)
@@ -295,7 +296,8 @@
         if self._parser is None and verdict in (Verdict.ANSWERED, Verdict.FAILED):
             call.response = (self._status, self._headers, b"".join(self._body))
             call.server_errors += self._status == INTERNAL_ERROR_STATUS
-        call.has_empty_continuation |= self._is_empty_continuation()
+        if verdict not in (Verdict.NOT_EXECUTED, Verdict.WRONG_INSTANCE):
+            self._note_refused_continuation()
         if verdict is Verdict.BROKEN:
             self._abort_exchange()
         else:
@@ -313,9 +315,10 @@
             not_executed=NOT_EXECUTED_HEADER in names,
         )
 
-    def _is_empty_continuation(self) -> bool:
-        """Whether the endpoint was asked for the rest of a stream and says that there is nothing left."""
-        return self._continues and self._parser is not None and self._event_count == 0
+    def _note_refused_continuation(self) -> None:
+        """Note that an endpoint was asked for the rest of a stream and gave none of it, without failing."""
+        if self._continues and self._event_count == 0 and self._status < FIRST_ERROR_STATUS:
+            self._call.continuation_refused = True
 
     def on_failed(self, may_have_been_sent: bool) -> None:
         if not self.finished:
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -181,8 +181,8 @@
         """What to continue from elsewhere; None if nothing has been received."""
         if self.call is None or self.call.last_event_id == NO_EVENT_ID:
             return None
-        if self.call.has_empty_continuation:
-            return NO_PROGRESS  # an endpoint has nothing after it, which a whole run can show to be true
+        if self.call.continuation_refused:
+            return NO_PROGRESS  # a run from the first event needs no continuation
         return Progress(self.call.last_event_id, self.texts)
 
     def return_message(self, reason: ReturnReason) -> ItemReturned:
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import itertools
+import json
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -15,7 +16,6 @@
 
 from eiderhub.control.errors import ErrorKind
 from eiderhub.dataplane import admission
-from eiderhub.dataplane.admission import NO_EVENT_ID
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS, CallProgress, Response, Verdict
 from eiderhub.dataplane.routes import Route
@@ -24,10 +24,11 @@
     AdmissionHarness,
     EndpointRequest,
     RecordingSink,
+    Script,
     ScriptedEndpoint,
     make_route,
 )
-from tests.items_support import running_harness, wait_for_results, wait_until
+from tests.items_support import running_harness, wait_for_results
 
 EVENTS = 5
 SEEDS = range(40)
@@ -112,9 +113,9 @@
             request.writer.close()
 
 
-async def run_call(route: Route, endpoints: Endpoints) -> EndSink:
+async def run_call(route: Route, serve: Script) -> EndSink:
     """Run one call to its end."""
-    harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", endpoints.serve) for n in range(4)))
+    harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(4)))
     await harness.start(route)
     sink = EndSink()
     harness.submit("a", sink)
@@ -143,7 +144,7 @@
     rng = random.Random(seed)
     endpoints = Endpoints(rng.randrange(1, EVENTS), rng.choices(list(CONTINUATIONS), k=2))
     route = make_route("batch" if is_item else "streaming", max_attempts=rng.choice((2, 3)), resumable=True)
-    sink = asyncio.run(run_call(route, endpoints))
+    sink = asyncio.run(run_call(route, endpoints.serve))
     check_end(sink, endpoints, is_item)
     return sink
 
@@ -163,7 +164,7 @@
     async def test() -> None:
         endpoints = Endpoints(2, [name] * 3)
         route = make_route("batch" if is_item else "streaming", max_attempts=2, resumable=True)
-        sink = await run_call(route, endpoints)
+        sink = await run_call(route, endpoints.serve)
         check_end(sink, endpoints, is_item)
         unprocessable = is_item and name == f"status {UNPROCESSABLE_STATUS}"
         expected = (
@@ -204,7 +205,7 @@
 def test_stream_that_may_not_be_resumed_is_cut(kind: str, resumable: bool) -> None:
     """Guards against a continuation where the route allows none."""
     endpoints = Endpoints(2, [])
-    sink = asyncio.run(run_call(make_route(kind, max_attempts=3, resumable=resumable), endpoints))
+    sink = asyncio.run(run_call(make_route(kind, max_attempts=3, resumable=resumable), endpoints.serve))
     assert (sink.end, endpoints.answered) == ("aborted", [])
 
 
@@ -217,37 +218,44 @@
         request.send(stream(request, "data: a\n\n", end=b""))
         request.writer.close()
 
-    async def test() -> EndSink:
-        harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(3)))
-        await harness.start(make_route("streaming", max_attempts=3, resumable=True))
-        sink = EndSink()
-        harness.submit("a", sink)
-        async with asyncio.timeout(TIMEOUT_S):
-            await sink.ended.wait()
-        harness.stop()
-        return sink
-
-    sink = asyncio.run(test())
+    sink = asyncio.run(run_call(make_route("streaming", max_attempts=3, resumable=True), serve))
     assert (sink.end, len(sink.events), next(runs)) == ("aborted", 1, 1)
 
 
-def test_item_with_an_empty_continuation_is_run_from_its_start(tmp_path: Path) -> None:
-    """Guards against an item that is asked for the rest of a whole text for ever, or ends without it."""
+REFUSED_CONTINUATIONS = (
+    "status 404", "status 410", "status 204", "status 307", "success that is no stream", "empty stream",
+    "comments alone", "events without ids", "another run from its start", "a gap",
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("name", REFUSED_CONTINUATIONS)
+def test_item_whose_continuation_is_refused_everywhere_is_run_from_its_start(
+    tmp_path: Path, name: str
+) -> None:
+    """Guards against an item that is asked for the rest of its text for ever, or ends without it."""
 
     async def test() -> None:
+        first_runs = itertools.count()
+
+        async def serve(request: EndpointRequest) -> None:
+            last = int(request.headers.get("last-event-id", "-1"))
+            if last >= 0:
+                request.send(CONTINUATIONS[name](request, last + 1))
+            elif next(first_runs) == 0:
+                request.send(stream(request, *map(event, range(2)), end=b""))
+                request.writer.close()
+            else:
+                request.send(stream(request, *map(event, range(EVENTS))))
+
         async with running_harness(tmp_path) as harness:
             sidecar = await harness.add_sidecar("edge-0")
+            endpoints = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(2)))
+            await endpoints.start(make_route("batch", max_attempts=2, resumable=True))
+            sidecar.route_for = lambda name: (endpoints.route, endpoints.admission)  # type: ignore[method-assign]
             assert await sidecar.submit("job", "a") == 202
-            await wait_until(lambda: "a" in sidecar.admission.calls, "the item runs")
-            sidecar.admission.start_item("a")
-            call = sidecar.admission.calls["a"]
-            call.last_event_id, call.has_empty_continuation = 0, True
-            sidecar.admission.fail_item("a")
-            await wait_until(lambda: "a" in sidecar.admission.calls, "the item runs again")
-            call = sidecar.admission.calls["a"]
-            assert (call.last_event_id, call.response_started) == (NO_EVENT_ID, False)
-            sidecar.admission.finish_item("a")
             await wait_for_results(sidecar, "job", "a")
-            assert b'"text":"text of a"' in (await sidecar.runner.read("job", 0, 0)).body
+            (result,) = json.loads((await sidecar.runner.read("job", 0, 0)).body)["results"]
+            assert (result["state"], result["text"]) == ("succeeded", "\n".join(map(str, range(EVENTS))))
+            endpoints.stop()
 
     asyncio.run(test())
