Batch jobs, configuration: text nested to any depth is answered, and what is accepted is read everywhere

Callers saw: a batch job with lists nested thousands deep, in a field that nobody reads, was answered 504 at every try, and each try closed its sidecar's session with the storage primary. A configuration nested 991 deep raised an error in the control primary; one nested a little less may be acknowledged and be too deep for a process that reads it with more calls on its stack.

Cause: a decoder gives up on depth with RecursionError, which is no DecodeError; where it gives up depends on the stack of its caller.

Change: a submission that can't be read is refused with 400, and only what is known of it is stored. A configuration may be nested 100 deep.

--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -321,7 +321,7 @@
             submission = msgspec.json.decode(body, type=Submission)
             for each in submission.requests:
                 check_item(each, limits.max_head_bytes)
-        except (msgspec.DecodeError, InvalidItem) as error:
+        except (msgspec.DecodeError, RecursionError, InvalidItem) as error:
             return Refusal(ErrorKind.INVALID, str(error))
         items = submission.requests
         if not items or len(items) > MAX_ITEMS or len({i.id for i in items}) != len(items):
@@ -340,7 +340,8 @@
         self._add_queued_tokens(job)
         return [
             Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(record)),
-            Write(BODY_PREFIX + job_id, body),
+            # Without unknown fields, which may be nested too deeply to be read where the items are started.
+            Write(BODY_PREFIX + job_id, msgspec.json.encode(submission)),
         ]
 
     def total_tokens(self, job_id: str) -> int:
--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -26,6 +26,7 @@
 PURGE_BATCH = 500  # digests deleted at once
 NAMED_LISTS = ("routes", "backends", "tenants")
 MAX_GENERATION = (1 << 63) - 1
+MAX_NESTING = 100  # of objects and lists; processes that apply a configuration recurse over it
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 Document = dict[str, Any]
@@ -89,10 +90,19 @@
     return int(text)
 
 
+def _nesting(document: Any) -> int:
+    """How deeply objects and lists are nested in a value."""
+    depth, level = 0, [document]
+    while level := [each for each in level if isinstance(each, dict | list)]:
+        depth += 1
+        level = [child for each in level for child in (each.values() if isinstance(each, dict) else each)]
+    return depth
+
+
 def parse(body: bytes) -> Result[Document, Refusal]:
     """Parse a JSON object by RFC 8259: UTF-8, no NaN, no duplicate keys, numbers in range of a double.
 
-    A leading byte order mark is ignored, as the RFC allows.
+    A leading byte order mark is ignored, as the RFC allows. Nesting is limited, as it also allows.
     """
     try:
         document = json.loads(
@@ -105,6 +115,8 @@
         json.dumps(document, ensure_ascii=False).encode()  # raises for an unpaired surrogate
     except (ValueError, RecursionError) as error:
         return _invalid(f"not valid JSON: {error}")
+    if _nesting(document) > MAX_NESTING:
+        return _invalid(f"objects and lists are nested more than {MAX_NESTING} deep")
     return Ok(document) if isinstance(document, dict) else _invalid("not a JSON object")
 
 
