Batch jobs: a stored id of 505 or 506 bytes makes no write that the store refuses

Callers saw, after an upgrade of a store in which had taken a job with such an id: the write of its last result, of a failure count, of its end and of its removal was refused, each time at the cost of the storage primary's epoch, in turn at each primary.

Cause: job/ID and body/ID fit into a key of 511 bytes then, so that the job was taken; errors/ID has 512 or 513. Results alone went under the digest.

Change: the key of failure counts is bounded in the same way. Ids up to 504 bytes keep theirs.

Evidence: the regression test plays each length from 496 to 506 with a failure count, results and the removal: 505 and 506 failed before, all pass now. Why it works: no key with an id in it is left that is longer than the store takes.

--- a/eiderhub/batch/job_ids.py
+++ b/eiderhub/batch/job_ids.py
@@ -32,6 +32,11 @@
     return name_of_id(job_id) if is_identifier(job_id) else None
 
 
+def errors_key(job_id: str) -> str:
+    """The key of the failed attempts of a job's items."""
+    return ERRORS_PREFIX + name_in_key(job_id, MAX_KEY_BYTES - len(ERRORS_PREFIX))
+
+
 def result_key(job_id: str, position: int) -> str:
     """The key of the result at a position."""
     return f"{result_prefix(job_id)}{position:0{POSITION_DIGITS}d}"
--- a/eiderhub/batch/jobs.py
+++ b/eiderhub/batch/jobs.py
@@ -17,8 +17,8 @@
 
 from eiderhub.batch.job_ids import (
     BODY_PREFIX,
-    ERRORS_PREFIX,
     JOB_PREFIX,
+    errors_key,
     is_result_key,
     result_key,
     result_prefix,
@@ -250,7 +250,7 @@
                 job.assigned_positions += 1
                 job.waiting_count -= 1
         job.committed_positions = job.assigned_positions
-        errors = self._reader.get(ERRORS_PREFIX + record.id)
+        errors = self._reader.get(errors_key(record.id))
         for name, count in msgspec.msgpack.decode(errors, type=dict[str, int]).items() if errors else ():
             job.items[name].errors = count
         self._add_queued_tokens(job)
@@ -375,7 +375,7 @@
         return [
             Write(JOB_PREFIX + job_id, msgspec.msgpack.encode(job.record)),
             Write(BODY_PREFIX + job_id, None),
-            Write(ERRORS_PREFIX + job_id, None),
+            Write(errors_key(job_id), None),
         ]
 
     def error_writes(self, job_id: str) -> list[Write]:
@@ -384,7 +384,7 @@
         if job is None or job.record.ended or job.assigned_positions == len(job.items):
             return []
         counts = {item.id: item.errors for item in job.items.values() if item.errors}
-        return [Write(ERRORS_PREFIX + job_id, msgspec.msgpack.encode(counts))]
+        return [Write(errors_key(job_id), msgspec.msgpack.encode(counts))]
 
     def _release_tokens(self, job: Job, tokens: float) -> None:
         route = job.record.route
@@ -403,8 +403,8 @@
                 self.jobs.pop(record.id)
                 self._submitted_items.pop(record.id, None)
                 results = [result_key(record.id, position) for position in range(job.assigned_positions)]
-                keys = [prefix + record.id for prefix in (JOB_PREFIX, BODY_PREFIX, ERRORS_PREFIX)] + results
-                return [Write(key, None) for key in keys]
+                records = [JOB_PREFIX + record.id, BODY_PREFIX + record.id, errors_key(record.id)]
+                return [Write(key, None) for key in records + results]
         return []
 
     # --- results ---
@@ -431,7 +431,7 @@
         job.assigned_positions += 1
         if job.assigned_positions == len(job.items):
             self._submitted_items.pop(key.job, None)
-            writes += [Write(BODY_PREFIX + key.job, None), Write(ERRORS_PREFIX + key.job, None)]
+            writes += [Write(BODY_PREFIX + key.job, None), Write(errors_key(key.job), None)]
         return writes
 
     def mark_result_committed(self, key: ItemKey) -> bool:
--- a/tests/test_outside_ids.py
+++ b/tests/test_outside_ids.py
@@ -139,20 +139,28 @@
     assert name_in_path(part) is None
 
 
-def test_job_that_an_older_version_stored_under_a_long_id_is_run_and_read(tmp_path: Path) -> None:
-    """Guards against a store of the version before in which such a job stands: its results did not fit."""
+@pytest.mark.parametrize("length", range(job_ids.MAX_NAME_BYTES, MAX_KEY_BYTES - len(BODY_PREFIX) + 1))
+def test_job_that_an_older_version_stored_under_a_long_id_ends(tmp_path: Path, length: int) -> None:
+    """Guards against a store of the version before with such a job: not all of its keys fitted."""
+    long_id = LONG_ID.ljust(length, "x")[:length]
     stored = StoredTable(tmp_path)
-    record = JobRecord(LONG_ID, ROUTE, SUBMITTED_AT, 10.0, 40.0, 3, [ItemRecord(i, 1.0) for i in ITEMS])
-    body = Write(BODY_PREFIX + LONG_ID, body_of(*ITEMS))
-    stored.commit([Write(JOB_PREFIX + LONG_ID, msgspec.msgpack.encode(record)), body])
-    name = name_of_id(LONG_ID.encode())
-    for asked in (name, LONG_ID):  # by a sidecar of this version, and of the one before
+    record = JobRecord(long_id, ROUTE, SUBMITTED_AT, 10.0, 40.0, 3, [ItemRecord(i, 1.0) for i in ITEMS])
+    body = Write(BODY_PREFIX + long_id, body_of(*ITEMS))
+    stored.commit([Write(JOB_PREFIX + long_id, msgspec.msgpack.encode(record)), body])
+    name = name_of_id(long_id.encode())
+    for asked in (name, long_id):  # by a sidecar of this version, and of the one before
         stored.reload()
         assert stored.texts(asked) is not None
+    stored.table.jobs[long_id].items[ITEMS[0]].errors = 2
+    stored.commit(stored.table.error_writes(long_id))
+    stored.reload()
+    assert stored.table.jobs[long_id].items[ITEMS[0]].errors == 2
     for item in ITEMS:
         stored.finish(name, item)
     stored.reload()
     assert stored.texts(name) == [f"{item} of {name}" for item in ITEMS]
+    stored.commit(stored.table.purge_expired(SUBMITTED_AT + PURGE_AFTER_S, 1.0))
+    assert list(stored.store.scan("")) == []
 
 
 def test_read_of_an_unknown_long_id_is_answered_and_ends_no_session(tmp_path: Path) -> None:
