Requests: an endpoint's refusal after a run is not passed on where the request may run only once

Callers saw: a request of a non_idempotent route, or of a stream that may not be resumed, ran at an endpoint that then answered 408, 429 or 503 without Not-Executed; the client got that status, which promises that its request has not run, and so sends it again.

Cause: any complete answer below 500 was the call's answer, and one from 500 on became it where no attempt was left, whatever the status promises.

Such an answer is none to a request that may run only once; its client gets 502.

With Not-Executed the client still gets 503. Why it works: PROTOCOL has Not-Executed and 421 as the only words that a request was not run; both are judged before.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -291,7 +291,7 @@
             return
         self._admission.response_count += 1
         call = self._call
-        progress = CallProgress(call.response_started, call.is_item)
+        progress = CallProgress(call.response_started, call.is_item, call.is_item or call.route.repeatable)
         verdict = judge(self._response(), progress)
         if self._parser is None and verdict in (Verdict.ANSWERED, Verdict.FAILED):
             call.response = (self._status, self._headers, b"".join(self._body))
--- a/eiderhub/dataplane/response_verdict.py
+++ b/eiderhub/dataplane/response_verdict.py
@@ -3,6 +3,9 @@
 A stream that has begun can only be continued by a stream. Anything else that an endpoint answers to the rest
 of it is a failed attempt: it neither completes the stream nor replaces what has been received of it. The one
 exception is a 422 to a batch item, which says that the item can never be done.
+
+To a client, some statuses promise that its request has not run. An endpoint that gives one of them without
+saying that it did not run the request promises nothing, so a request that may run once only is not given it.
 """
 
 from __future__ import annotations
@@ -12,6 +15,7 @@
 
 UNPROCESSABLE_STATUS = 422
 MISDIRECTED_STATUS = 421
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))  # as PROTOCOL has it, "Answers"
 FIRST_ERROR_STATUS = 500
 FIRST_NON_SUCCESS_STATUS = 300
 
@@ -32,13 +36,14 @@
 
     begun: bool  # events of it have been received, here or at another sidecar
     is_item: bool
+    repeatable: bool  # whether its request may run more than once
 
 
 class Verdict(Enum):
     COMPLETED = "completed"  # the stream is whole
     ANSWERED = "answered"  # the response is the call's answer
     FAILED = "failed"  # the endpoint has failed; its response is the answer if no attempt is left
-    BROKEN = "broken"  # this is no response to the call
+    BROKEN = "broken"  # this is no response that the call may be given
     NOT_EXECUTED = "not executed"
     WRONG_INSTANCE = "wrong instance"
 
@@ -57,6 +62,8 @@
         return Verdict.ANSWERED
     if response.status < FIRST_NON_SUCCESS_STATUS and (call.begun or not response.signed):
         return Verdict.BROKEN
+    if response.status in NOT_RUN_STATUSES and not call.repeatable:
+        return Verdict.BROKEN
     if call.begun or response.status >= FIRST_ERROR_STATUS:
         return Verdict.FAILED
     return Verdict.ANSWERED
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -9,20 +9,23 @@
 import itertools
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from eiderhub.control.configuration import Change, decide, parse
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
+from eiderhub.dataplane import response_verdict
 from eiderhub.dataplane.routes import Route, RouteTable
 from tests.endpoint_support import SERVICE, AdmissionHarness, EndpointRequest, ScriptedEndpoint
 
 KINDS = ("idempotent", "non_idempotent", "streaming", None)  # None: the route names no kind
 FLAGS = (True, False, None)
 REQUESTS = 6
-LOSS_RATE = 0.6
-REFUSALS = {HTTP_STATUS[ErrorKind.NOT_READY], HTTP_STATUS[ErrorKind.NO_ROOM]}
+LOSS_RATE, UNPROVEN_RATE = 0.4, 0.2
+NOT_RUN_STATUSES = (408, 421, 429, 503)  # to a client each promises that its request has not run
+UNPROVEN_STATUSES = (408, 429, 503)  # of an endpoint, without Not-Executed
 
 
 def accepted_route(kind: str | None, resumable: bool | None, **fields: Any) -> Route:
@@ -49,12 +52,15 @@
 
 
 async def play(route: Route, seed: int) -> tuple[dict[str, int], dict[str, int]]:
-    """Send requests whose answers are lost at random; the runs and the last status of each."""
+    """Send requests whose answers are lost or are refusals, at random; the runs and last status of each."""
     rng = random.Random(seed)
 
     async def run_and_lose(request: EndpointRequest) -> None:
-        if rng.random() < LOSS_RATE:
+        drawn = rng.random()
+        if drawn < LOSS_RATE:
             request.reset()
+        elif drawn < LOSS_RATE + UNPROVEN_RATE:
+            request.send(request.answer(status=rng.choice(UNPROVEN_STATUSES)))
         else:
             request.send(request.answer())
 
@@ -80,12 +86,59 @@
         most = max(most, *runs.values())
         if not repeatable:
             assert all(count <= 1 for count in runs.values())
-            assert not any(runs[name] and statuses[name] in REFUSALS for name in runs)
+            assert not any(runs[name] and statuses[name] in NOT_RUN_STATUSES for name in runs)
     assert not repeatable or most > 1
 
 
-def test_every_kind_that_repeats_finds_the_planted_fault(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Planted: `resumable` makes every kind repeatable, as before."""
+@pytest.mark.parametrize("status", UNPROVEN_STATUSES)
+@pytest.mark.parametrize("kind", ["non_idempotent", "streaming"])
+def test_refusal_of_an_endpoint_that_may_have_run_the_request_is_not_passed_on(
+    kind: str, status: int
+) -> None:
+    """Guards against a client that is promised that its request has not run, though it has."""
+
+    async def run_and_refuse(request: EndpointRequest) -> None:
+        request.send(request.answer(status=status))
+
+    async def test() -> None:
+        harness = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", run_and_refuse) for n in range(3)))
+        await harness.start(accepted_route(kind, None))
+        sink = await harness.request("a")
+        assert (harness.run_count("a"), sink.refusal, sink.signatures()) == (1, ErrorKind.FAILED, [])
+        harness.stop()
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("status", NOT_RUN_STATUSES)
+def test_request_that_an_endpoint_did_not_run_is_refused_as_such(status: int) -> None:
+    """Guards against a refusal that is withheld where the endpoint says that it did not run the request."""
+
+    async def refuse(request: EndpointRequest) -> None:
+        request.send(request.answer(status=status, Not_Executed="1"))
+
+    async def test() -> None:
+        harness = AdmissionHarness(ScriptedEndpoint("i-0", refuse))
+        await harness.start(accepted_route("non_idempotent", None))
+        assert (await harness.request("a")).refusal is ErrorKind.NOT_READY
+        harness.stop()
+
+    asyncio.run(test())
+
+
+def _resumable_repeats(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Route, "repeatable", property(lambda route: route.resumable))
+
+
+def _refusals_pass(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(response_verdict, "NOT_RUN_STATUSES", frozenset())
+
+
+@pytest.mark.parametrize("plant", [_resumable_repeats, _refusals_pass])
+def test_property_finds_a_planted_fault(
+    monkeypatch: pytest.MonkeyPatch, plant: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    """Planted, both as before: `resumable` repeats every kind; a refusal is passed on, run or not."""
+    plant(monkeypatch)
     with pytest.raises(AssertionError):
         test_requests_run_as_often_as_their_kind_allows("non_idempotent", True)
