Batch items: a second answer to a run is not taken for that to the item's next run

Cause: all runs of an item have one id. An endpoint's answer of 500 that comes twice stood in the slot of the item's next run on the same connection, where the id, which tells late answers apart, is the same.

Change: a connection remembers the ids of its last 16 requests; none of them is written to it again, another connection is taken.

Connections are reused as before for other ids. Why it works: on one connection each remembered id stands for one request, so an answer's id says which.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -665,7 +665,7 @@
         parts.append(body)
         data = b"".join(parts)
         attempt.count_sent(len(data))
-        pending.exchange = pool.send(data, attempt)
+        pending.exchange = pool.send(pending.request_id, data, attempt)
 
     def cancel(self, call: str, attempt: int) -> None:
         """Does nothing: the exchange is cancelled when its call ends."""
--- a/eiderhub/dataplane/endpoint_connections.py
+++ b/eiderhub/dataplane/endpoint_connections.py
@@ -4,13 +4,15 @@
 precisely as the socket allows: a request that was certainly not sent may be retried on another endpoint.
 
 The status and headers of a response are delivered together and never change afterwards. Bytes after the end
-of a response belong to no request: they are not parsed, and the connection is closed.
+of a response belong to no request: they are not parsed, and the connection is closed. Requests with the same
+id do not share a connection: a late second response to one could not be told from that to the next.
 """
 
 from __future__ import annotations
 
 import asyncio
 import select
+from collections import deque
 from typing import Protocol, cast
 
 import httptools
@@ -23,6 +25,7 @@
 CONNECT_TIMEOUT_S = 0.3
 MAX_HEAD_BYTES = 64 << 10
 MAX_IDLE_CONNECTIONS = 64  # per endpoint
+REMEMBERED_IDS = 16  # of the latest requests on a connection; a second response comes soon after the first
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -49,6 +52,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reset_response()
         self.request_count = 0  # requests written to this connection
+        self._recent_ids: deque[bytes] = deque(maxlen=REMEMBERED_IDS)
         self.reusable_until = 0.0
         self.closed = False
 
@@ -61,10 +65,15 @@
         """Whether a request may be written: the socket has no unexpected data and no end of file to read."""
         return not self.closed and now < self.reusable_until and not self._poll.poll(0)
 
-    def send(self, request: bytes, listener: ResponseListener) -> None:
+    def has_carried(self, request_id: bytes) -> bool:
+        """Whether one of the latest requests on this connection had this id."""
+        return request_id in self._recent_ids
+
+    def send(self, request_id: bytes, request: bytes, listener: ResponseListener) -> None:
         self._listener = listener
         self._reset_response()
         self.request_count += 1
+        self._recent_ids.append(request_id)
         self._transport.write(request)
 
     def _reset_response(self) -> None:
@@ -205,22 +214,31 @@
         self._closed = False
         self.connect_attempts = 0
 
-    def send(self, request: bytes, listener: ResponseListener) -> Exchange:
+    def send(self, request_id: bytes, request: bytes, listener: ResponseListener) -> Exchange:
         """Send a request; the listener is never called before this returns."""
         exchange = Exchange()
-        now = asyncio.get_running_loop().time()
-        while self._idle_connections:
-            connection = self._idle_connections.pop()
-            if connection.is_usable(now):
-                exchange.attach(connection)
-                connection.send(request, _CancellableListener(listener, exchange))
-                return exchange
-            connection.close()
-        task = asyncio.get_running_loop().create_task(self._connect_and_send(request, listener, exchange))
+        connection = self._take_idle(request_id)
+        if connection is not None:
+            exchange.attach(connection)
+            connection.send(request_id, request, _CancellableListener(listener, exchange))
+            return exchange
+        connecting = self._connect_and_send(request_id, request, listener, exchange)
+        task = asyncio.get_running_loop().create_task(connecting)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return exchange
 
+    def _take_idle(self, request_id: bytes) -> EndpointConnection | None:
+        """The last used of the idle connections to which a request with this id may be written."""
+        now = asyncio.get_running_loop().time()
+        for connection in reversed(list(self._idle_connections)):
+            if not connection.is_usable(now):
+                connection.close()
+            elif not connection.has_carried(request_id):
+                self._idle_connections.remove(connection)
+                return connection
+        return None
+
     async def can_connect(self) -> bool:
         """Whether the endpoint accepts a connection, which is pooled for the next request."""
         connection = await self._open_connection()
@@ -242,7 +260,9 @@
             return None
         return connection
 
-    async def _connect_and_send(self, request: bytes, listener: ResponseListener, exchange: Exchange) -> None:
+    async def _connect_and_send(
+        self, request_id: bytes, request: bytes, listener: ResponseListener, exchange: Exchange
+    ) -> None:
         connection = await self._open_connection()
         if connection is None:
             if not exchange.cancelled:
@@ -253,7 +273,7 @@
             listener.on_failed(False)
         else:
             exchange.attach(connection)
-            connection.send(request, _CancellableListener(listener, exchange))
+            connection.send(request_id, request, _CancellableListener(listener, exchange))
 
     def release(self, connection: EndpointConnection, reuse_for_s: float) -> None:
         if self._closed or len(self._idle_connections) >= MAX_IDLE_CONNECTIONS or connection.closed:
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -126,6 +126,34 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("late", [{"status": 500}, {"status": 422}, {"status": 503, "Not_Executed": "1"}])
+def test_second_answer_to_a_run_of_an_item_is_not_taken_for_that_to_its_next_run(
+    late: dict[str, Any],
+) -> None:
+    """Guards against a failure of an item that is counted twice, as its answer came twice."""
+
+    async def test() -> None:
+        connections: list[int] = []
+
+        async def serve(request: EndpointRequest) -> None:
+            connections.append(id(request.writer))
+            is_answered = connections.count(connections[0]) > 1  # its connection has had an answer before
+            if len(connections) == 1 or is_answered:
+                request.send(request.answer(**late))
+            if len(connections) > 1:
+                request.send(request.answer())
+
+        harness = AdmissionHarness(ScriptedEndpoint("i-0", serve))
+        await harness.start(accepted_route("batch", None))
+        await harness.request("a")
+        assert (await harness.request("a")).status == 200
+        assert (await harness.request("b")).status == 200
+        assert connections.count(connections[0]) + connections.count(connections[1]) == 3
+        harness.stop()
+
+    asyncio.run(test())
+
+
 def _resumable_repeats(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Route, "repeatable", property(lambda route: route.resumable))
 
