Streams: known by their media type in any case of letters

Callers saw: a stream that an endpoint labels Text/Event-Stream reached its client only once it was whole, as a plain body; an item answered so got no result until retention_s, when it was listed as dead_letter.

Cause: the Content-Type was compared as bytes; media types may be written in either case (RFC 9110, 8.3.1).

Change: one function says whether a Content-Type names a stream of events.

Evidence: the regression test, four spellings, to an item and to a live stream: the four in other cases failed before.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -20,7 +20,7 @@
 from eiderhub.control.messages import EndpointRecord
 from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.endpoint_connections import EndpointPool, Exchange, Headers
-from eiderhub.dataplane.events import Event, EventParser
+from eiderhub.dataplane.events import Event, EventParser, is_event_stream
 from eiderhub.dataplane.response_verdict import FIRST_ERROR_STATUS, CallProgress, Response, Verdict, judge
 from eiderhub.dataplane.routes import Route
 from eiderhub.interface import (
@@ -223,7 +223,7 @@
             self._abort_exchange()
             return
         self._status, self._headers = status, headers
-        if status == 200 and headers_by_name.get(b"content-type", b"").startswith(b"text/event-stream"):
+        if status == 200 and is_event_stream(headers_by_name.get(b"content-type", b"")):
             self._parser = EventParser()
 
     def _count_received(self, size: int) -> None:
--- a/eiderhub/dataplane/events.py
+++ b/eiderhub/dataplane/events.py
@@ -4,6 +4,13 @@
 
 from typing import NamedTuple
 
+MEDIA_TYPE = b"text/event-stream"
+
+
+def is_event_stream(content_type: bytes) -> bool:
+    """Whether a Content-Type header names a stream of events; letters may be of either case."""
+    return content_type.partition(b";")[0].strip().lower() == MEDIA_TYPE
+
 
 class Event(NamedTuple):
     raw_bytes: bytes  # including the terminating blank line
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -222,6 +222,22 @@
     assert (sink.end, len(sink.events), next(runs)) == ("aborted", 1, 1)
 
 
+@pytest.mark.parametrize(
+    "media_type",
+    ["text/event-stream", "Text/Event-Stream", "text/event-stream; charset=utf-8", "TEXT/EVENT-STREAM;a=b"],
+)
+@pytest.mark.parametrize("is_item", [True, False], ids=["item", "live"])
+def test_stream_is_known_by_its_media_type_in_any_case(media_type: str, is_item: bool) -> None:
+    """Guards against a stream that is taken for a plain body: held back, and no result of an item."""
+
+    async def serve(request: EndpointRequest) -> None:
+        answer = stream(request, *map(event, range(EVENTS)))
+        request.send(answer.replace(b"text/event-stream", media_type.encode()))
+
+    sink = asyncio.run(run_call(make_route("batch" if is_item else "streaming"), serve))
+    assert (sink.end, [each.id for each in sink.events]) == ("finished", list(range(EVENTS)))
+
+
 REFUSED_CONTINUATIONS = (
     "status 404", "status 410", "status 204", "status 307", "success that is no stream", "empty stream",
     "comments alone", "events without ids", "another run from its start", "a gap",
