Streams: one goes on elsewhere only if all that it has given is numbered

An id of 19 digits or more could be in no message, so that an item with it was not returned; one of 5,000 digits raised an error where it was read.

Cause: the number of the last event stood for all that had come, whatever came without one; any run of digits was a number.

Change: a call knows that it has output without a number and has no point to resume from then: a live stream is cut, an item runs from its first event. Ids of more than 18 digits count as none, in events as in a client's Last-Event-Id, by one function.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -20,7 +20,7 @@
 from eiderhub.control.messages import EndpointRecord
 from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.endpoint_connections import EndpointPool, Exchange, Headers
-from eiderhub.dataplane.events import Event, EventParser, is_event_stream
+from eiderhub.dataplane.events import NO_EVENT_ID, Event, EventParser, is_event_stream
 from eiderhub.dataplane.response_verdict import FIRST_ERROR_STATUS, CallProgress, Response, Verdict, judge
 from eiderhub.dataplane.routes import Route
 from eiderhub.interface import (
@@ -41,7 +41,6 @@
 from eiderhub.sidecar.clock import Alarm, now_us
 from eiderhub.transport.traffic import TRAFFIC
 
-NO_EVENT_ID = -1
 MIN_CREDIT, CREDIT_PER_PRIORITY = 0.1, 0.35  # credit of a class, 1.0 at the highest priority (0)
 # Target latency given to the balancer, relative to the objective. The balancer infers stress from half of its
 # target on, and with long prompts a first event takes that much of its objective even on a healthy endpoint.
@@ -133,6 +132,7 @@
         "deadline_timer",
         "deadline_us",
         "exchange",
+        "has_unnumbered_output",
         "is_item",
         "key",
         "last_event_id",
@@ -175,6 +175,7 @@
         self.current_attempt: Attempt | None = None  # the attempt in progress
         self.exchange: Exchange | None = None
         self.last_event_id = NO_EVENT_ID
+        self.has_unnumbered_output = False  # events without an id, which no Last-Event-Id accounts for
         self.response_started = False
         self.possible_runs = 0  # attempts that an endpoint may have executed
         self.server_errors = 0  # responses with status 500
@@ -185,8 +186,16 @@
     @property
     def can_continue(self) -> bool:
         """Whether another attempt may follow: a stream that has begun has to say where it goes on."""
-        resumes = self.is_item or self.route.resumes_streams
-        return not self.response_started or (resumes and self.last_event_id != NO_EVENT_ID)
+        return not self.response_started or (self.resume_point != NO_EVENT_ID and self.resumes_streams)
+
+    @property
+    def resumes_streams(self) -> bool:
+        return self.is_item or self.route.resumes_streams
+
+    @property
+    def resume_point(self) -> int:
+        """The event after which another attempt can continue; NO_EVENT_ID if there is none."""
+        return NO_EVENT_ID if self.has_unnumbered_output else self.last_event_id
 
     @property
     def traffic_kind(self) -> str:
@@ -265,13 +274,15 @@
     def _accept_event(self, event: Event) -> bool:
         call = self._call
         self._admission.response_count += 1
-        if event.id < 0 and event.data and self._continues:
-            return False  # nothing says that it is the next one
-        if call.last_event_id != NO_EVENT_ID and event.id >= 0 and event.id != call.last_event_id + 1:
-            return False
-        if event.id >= 0:
+        if event.is_numbered:
+            if call.last_event_id not in (NO_EVENT_ID, event.id - 1):
+                return False
             call.last_event_id = event.id
-        if event.id >= 0 or event.data:
+        elif event.has_output:
+            if self._continues:
+                return False  # nothing says that it is the next one
+            call.has_unnumbered_output = True
+        if event.has_output:
             self._event_count += 1
             call.continuation_refused = False
         now = self._admission.now_us()
--- a/eiderhub/dataplane/events.py
+++ b/eiderhub/dataplane/events.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+NO_EVENT_ID = -1
+MAX_EVENT_ID_DIGITS = 18  # larger numbers do not fit into messages
 MEDIA_TYPE = b"text/event-stream"
 
 
@@ -12,11 +14,25 @@
     return content_type.partition(b";")[0].strip().lower() == MEDIA_TYPE
 
 
+def parse_event_id(text: bytes) -> int:
+    """The number of an event, as in a Last-Event-Id header; NO_EVENT_ID if the text is not one."""
+    return int(text) if text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS else NO_EVENT_ID
+
+
 class Event(NamedTuple):
     raw_bytes: bytes  # including the terminating blank line
-    id: int  # -1 if the event has none
+    id: int  # NO_EVENT_ID if the event has none
     data: str  # the data lines joined with line feeds
 
+    @property
+    def is_numbered(self) -> bool:
+        return self.id != NO_EVENT_ID
+
+    @property
+    def has_output(self) -> bool:
+        """Whether it is a part of the response; a comment is not."""
+        return self.is_numbered or bool(self.data)
+
 
 class EventParser:
     def __init__(self) -> None:
@@ -52,12 +68,12 @@
 
 
 def _parse_event(raw: bytes) -> Event:
-    event_id, data_lines = -1, []
+    event_id, data_lines = NO_EVENT_ID, []
     for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
         name, _, value = line.partition(b":")
         value = value[1:] if value.startswith(b" ") else value
-        if name == b"id" and value.isdigit():
-            event_id = int(value)
+        if name == b"id":
+            event_id = parse_event_id(value)
         elif name == b"data":
             data_lines.append(value.decode("utf-8", "replace"))
     return Event(raw, event_id, "\n".join(data_lines))
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -34,9 +34,9 @@
     WorkerReported,
 )
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
-from eiderhub.dataplane.admission import BATCH_TENANT, NO_EVENT_ID, Admission, Call
+from eiderhub.dataplane.admission import BATCH_TENANT, Admission, Call
 from eiderhub.dataplane.endpoint_connections import Headers
-from eiderhub.dataplane.events import Event
+from eiderhub.dataplane.events import NO_EVENT_ID, Event
 from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS
 from eiderhub.dataplane.routes import Route
 from eiderhub.request_head import HOST_FIELD, UnsendableRequest, item_head
@@ -178,12 +178,12 @@
         return f"at {self.call.current_attempt.endpoint}"
 
     def progress(self) -> Progress | None:
-        """What to continue from elsewhere; None if nothing has been received."""
-        if self.call is None or self.call.last_event_id == NO_EVENT_ID:
+        """What to continue from elsewhere; None if there is nothing to continue from."""
+        if self.call is None or self.call.resume_point == NO_EVENT_ID:
             return None
         if self.call.continuation_refused:
             return NO_PROGRESS  # a run from the first event needs no continuation
-        return Progress(self.call.last_event_id, self.texts)
+        return Progress(self.call.resume_point, self.texts)
 
     def return_message(self, reason: ReturnReason) -> ItemReturned:
         errors = self.call.server_errors if self.call else 0
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -22,9 +22,10 @@
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
 from eiderhub.control.messages import EndpointRecord, LeaseRequest, NodeRecord, SessionPing
 from eiderhub.coordination.wire import WIRE_VERSION
-from eiderhub.dataplane.admission import NO_EVENT_ID, Admission, Call
+from eiderhub.dataplane.admission import Admission, Call
 from eiderhub.dataplane.drain import Drain
 from eiderhub.dataplane.early_requests import EarlyRequests
+from eiderhub.dataplane.events import NO_EVENT_ID, parse_event_id
 from eiderhub.dataplane.frontend import ClientExchange, ClientSink, RefundingSink
 from eiderhub.dataplane.items import CALL_TIMEOUT_S, ItemRunner, token_usage
 from eiderhub.dataplane.routes import Route, RouteTable
@@ -47,7 +48,6 @@
 STARTING_RETRY_AFTER_US = 600_000  # a configuration has usually arrived by then
 DEFAULT_TIMEOUT_MS = 2_000.0  # without a client timeout, while no route is known
 EARLY_CHECK_INTERVAL_S = 0.02  # between checks for expired early requests
-MAX_EVENT_ID_DIGITS = 18
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 log = logging.getLogger("edge")
@@ -305,7 +305,7 @@
         route, admission = found
         headers = exchange.headers
         due_us = admission.now_us() + int(max(0.001, time_left_s(exchange, route) - TIMEOUT_MARGIN_S) * 1e6)
-        last_event_id = event_id(headers.get(b"last-event-id", b""))
+        last_event_id = parse_event_id(headers.get(b"last-event-id", b""))
         forwarded = [
             pair for pair in headers.items() if last_event_id == NO_EVENT_ID or pair[0] != b"last-event-id"
         ]
@@ -407,11 +407,6 @@
     return min(client_timeout_ms, route.timeout_ms) / 1000 - exchange.held_s
 
 
-def event_id(text: bytes) -> int:
-    """The number of a Last-Event-Id header, which each attempt then carries; NO_EVENT_ID if it is not one."""
-    return int(text) if text.isdigit() and len(text) <= MAX_EVENT_ID_DIGITS else NO_EVENT_ID
-
-
 def _parse_position(text: str) -> int:
     """A position in a job's results; 0 if it is not a number, and at most MAX_POSITION."""
     if not text.isdecimal():
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -244,34 +244,77 @@
 )  # fmt: skip
 
 
+async def run_item(folder: Path, serve: Script) -> str:
+    """Run an item, at a sidecar of a real storage service, until it is listed as succeeded; its text."""
+    async with running_harness(folder) as harness:
+        sidecar = await harness.add_sidecar("edge-0")
+        endpoints = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(2)))
+        await endpoints.start(make_route("batch", max_attempts=2, resumable=True))
+        sidecar.route_for = lambda name: (endpoints.route, endpoints.admission)  # type: ignore[method-assign]
+        assert await sidecar.submit("job", "a") == 202
+        await wait_for_results(sidecar, "job", "a")
+        (result,) = json.loads((await sidecar.runner.read("job", 0, 0)).body)["results"]
+        endpoints.stop()
+    assert result["state"] == "succeeded"
+    return str(result["text"])
+
+
 @pytest.mark.parametrize("name", REFUSED_CONTINUATIONS)
 def test_item_whose_continuation_is_refused_everywhere_is_run_from_its_start(
     tmp_path: Path, name: str
 ) -> None:
     """Guards against an item that is asked for the rest of its text for ever, or ends without it."""
+    first_runs = itertools.count()
 
-    async def test() -> None:
-        first_runs = itertools.count()
-
-        async def serve(request: EndpointRequest) -> None:
-            last = int(request.headers.get("last-event-id", "-1"))
-            if last >= 0:
-                request.send(CONTINUATIONS[name](request, last + 1))
-            elif next(first_runs) == 0:
-                request.send(stream(request, *map(event, range(2)), end=b""))
-                request.writer.close()
-            else:
-                request.send(stream(request, *map(event, range(EVENTS))))
-
-        async with running_harness(tmp_path) as harness:
-            sidecar = await harness.add_sidecar("edge-0")
-            endpoints = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(2)))
-            await endpoints.start(make_route("batch", max_attempts=2, resumable=True))
-            sidecar.route_for = lambda name: (endpoints.route, endpoints.admission)  # type: ignore[method-assign]
-            assert await sidecar.submit("job", "a") == 202
-            await wait_for_results(sidecar, "job", "a")
-            (result,) = json.loads((await sidecar.runner.read("job", 0, 0)).body)["results"]
-            assert (result["state"], result["text"]) == ("succeeded", "\n".join(map(str, range(EVENTS))))
-            endpoints.stop()
+    async def serve(request: EndpointRequest) -> None:
+        last = int(request.headers.get("last-event-id", "-1"))
+        if last >= 0:
+            request.send(CONTINUATIONS[name](request, last + 1))
+        elif next(first_runs) == 0:
+            request.send(stream(request, *map(event, range(2)), end=b""))
+            request.writer.close()
+        else:
+            request.send(stream(request, *map(event, range(EVENTS))))
 
-    asyncio.run(test())
+    assert asyncio.run(run_item(tmp_path, serve)) == "\n".join(map(str, range(EVENTS)))
+
+
+# What an endpoint gives before it breaks off, so that no Last-Event-Id says where to go on.
+UNRESUMABLE_STARTS = {
+    "an event without an id": (event(0), "data: x\n\n"),
+    "an id that is too large": (f"id: {10**18}\ndata: 0\n\n", f"id: {10**18 + 1}\ndata: 1\n\n"),
+    "an id of many digits": ("id: " + "9" * 5000 + "\ndata: 0\n\n",),
+}
+
+
+class BreaksOffOnce:
+    """Endpoints that break off the first run after a start, and then run the whole stream."""
+
+    def __init__(self, *start: str) -> None:
+        self._start = start
+        self.asked: list[str] = []  # the Last-Event-Id of each run
+
+    async def serve(self, request: EndpointRequest) -> None:
+        self.asked.append(request.headers.get("last-event-id", ""))
+        if len(self.asked) == 1:
+            request.send(stream(request, *self._start, end=b""))
+            request.writer.close()
+        else:
+            last = int(self.asked[-1] or -1)
+            request.send(stream(request, *map(event, range(last + 1, EVENTS))))
+
+
+@pytest.mark.parametrize("start", UNRESUMABLE_STARTS.values(), ids=list(UNRESUMABLE_STARTS))
+def test_item_that_cannot_be_resumed_is_run_from_its_start(tmp_path: Path, start: tuple[str, ...]) -> None:
+    """Guards against pieces of two runs in one text, and an id that no message can hold."""
+    endpoints = BreaksOffOnce(*start)
+    assert asyncio.run(run_item(tmp_path, endpoints.serve)) == "\n".join(map(str, range(EVENTS)))
+    assert endpoints.asked == ["", ""]
+
+
+@pytest.mark.parametrize("start", UNRESUMABLE_STARTS.values(), ids=list(UNRESUMABLE_STARTS))
+def test_live_stream_that_cannot_be_resumed_is_cut(start: tuple[str, ...]) -> None:
+    """Guards against pieces of two runs in one answer."""
+    endpoints = BreaksOffOnce(*start)
+    sink = asyncio.run(run_call(make_route("streaming", resumable=True), endpoints.serve))
+    assert (sink.end, len(sink.events), endpoints.asked) == ("aborted", len(start), [""])
