Batch items: a comment in a stream is no part of the item's text

Callers saw: an empty line in the text of an item for each comment, or field other than data and id, that its endpoint sent between events (MIXED: the text is the data of all its events).

Cause: whatever the parser delivers was added, comments with empty data as well.

Change: only events with a number or data are.

Evidence: the regression test, with comments and retry fields around each event, failed before.

--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -116,7 +116,8 @@
         if not self._started:
             self._started = True
             self._runner.on_item_started(self)
-        self.texts.append(event.data)
+        if event.has_output:
+            self.texts.append(event.data)
 
     def finish(self) -> None:
         self._runner.on_item_ended(ItemFinished(self.key, True, "\n".join(self.texts)))
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -318,3 +318,13 @@
     endpoints = BreaksOffOnce(*start)
     sink = asyncio.run(run_call(make_route("streaming", resumable=True), endpoints.serve))
     assert (sink.end, len(sink.events), endpoints.asked) == ("aborted", len(start), [""])
+
+
+def test_comments_are_no_part_of_the_text_of_an_item(tmp_path: Path) -> None:
+    """Guards against a text with line feeds that no event has."""
+
+    async def serve(request: EndpointRequest) -> None:
+        events = itertools.chain(*((": ping\n\n", event(n), "retry: 9\n\n") for n in range(EVENTS)))
+        request.send(stream(request, *events))
+
+    assert asyncio.run(run_item(tmp_path, serve)) == "\n".join(map(str, range(EVENTS)))
