Streams: one without the endpoint's signature is no success of a live request

Cause: the signature was asked of plain bodies only.

Change: the head of a stream is judged, beside the other verdicts: without a signature the attempt has failed. The result of an item carries none, so that its stream needs none either.

Evidence: four regression tests, first runs of three kinds of routes and a continuation, failed before.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -21,7 +21,14 @@
 from eiderhub.dataplane.activity import EndpointActivity
 from eiderhub.dataplane.endpoint_connections import EndpointPool, Exchange, Headers
 from eiderhub.dataplane.events import NO_EVENT_ID, Event, EventParser, is_event_stream
-from eiderhub.dataplane.response_verdict import FIRST_ERROR_STATUS, CallProgress, Response, Verdict, judge
+from eiderhub.dataplane.response_verdict import (
+    FIRST_ERROR_STATUS,
+    CallProgress,
+    Response,
+    Verdict,
+    accepts_stream,
+    judge,
+)
 from eiderhub.dataplane.routes import Route
 from eiderhub.interface import (
     Effect,
@@ -183,6 +190,10 @@
         self.response: tuple[int, Headers, bytes] | None = None  # the last one that was not a stream
         self.continuation_refused = False  # an endpoint gave no event after `last_event_id`, without failing
 
+    @property
+    def progress(self) -> CallProgress:
+        return CallProgress(self.response_started, self.is_item, self.is_item or self.route.repeatable)
+
     @property
     def can_continue(self) -> bool:
         """Whether another attempt may follow: a stream that has begun has to say where it goes on."""
@@ -233,6 +244,9 @@
             return
         self._status, self._headers = status, headers
         if status == 200 and is_event_stream(headers_by_name.get(b"content-type", b"")):
+            if not accepts_stream(SIGNATURE_HEADER in headers_by_name, self._call.progress):
+                self._abort_exchange()
+                return
             self._parser = EventParser()
 
     def _count_received(self, size: int) -> None:
@@ -302,8 +316,7 @@
             return
         self._admission.response_count += 1
         call = self._call
-        progress = CallProgress(call.response_started, call.is_item, call.is_item or call.route.repeatable)
-        verdict = judge(self._response(), progress)
+        verdict = judge(self._response(), call.progress)
         if self._parser is None and verdict in (Verdict.ANSWERED, Verdict.FAILED):
             call.response = (self._status, self._headers, b"".join(self._body))
             call.server_errors += self._status == INTERNAL_ERROR_STATUS
--- a/eiderhub/dataplane/response_verdict.py
+++ b/eiderhub/dataplane/response_verdict.py
@@ -48,6 +48,14 @@
     WRONG_INSTANCE = "wrong instance"
 
 
+def accepts_stream(signed: bool, call: CallProgress) -> bool:
+    """Whether the events of a stream may be used, judged by its head.
+
+    A client is given the endpoint's signature with every success; the result of an item has none.
+    """
+    return signed or call.is_item
+
+
 def judge(response: Response, call: CallProgress) -> Verdict:
     """What a response means for its call."""
     if response.is_stream:
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -238,6 +238,33 @@
     assert (sink.end, [each.id for each in sink.events]) == ("finished", list(range(EVENTS)))
 
 
+@pytest.mark.parametrize("kind", ["streaming", "idempotent", "non_idempotent"])
+def test_stream_without_a_signature_is_no_success(kind: str) -> None:
+    """Guards against a success that lacks the endpoint's signature."""
+
+    async def serve(request: EndpointRequest) -> None:
+        request.send(stream(request, *map(event, range(EVENTS))).replace(b"Response-Signature: s\r\n", b""))
+
+    sink = asyncio.run(run_call(make_route(kind, resumable=True), serve))
+    assert (sink.end, sink.events) == (f"refused {ErrorKind.FAILED.value}", [])
+
+
+def test_stream_without_a_signature_does_not_continue_one_that_has() -> None:
+    """Guards against bytes of another sender within a signed answer."""
+
+    async def serve(request: EndpointRequest) -> None:
+        last = int(request.headers.get("last-event-id", "-1"))
+        if last < 0:
+            request.send(stream(request, event(0), end=b""))
+            request.writer.close()
+        else:
+            rest = stream(request, *map(event, range(last + 1, EVENTS)))
+            request.send(rest.replace(b"Response-Signature: s\r\n", b""))
+
+    sink = asyncio.run(run_call(make_route("streaming", resumable=True), serve))
+    assert (sink.end, len(sink.events)) == ("aborted", 1)
+
+
 REFUSED_CONTINUATIONS = (
     "status 404", "status 410", "status 204", "status 307", "success that is no stream", "empty stream",
     "comments alone", "events without ids", "another run from its start", "a gap",
