Metrics: text from outside in a label is escaped

Callers saw: a job, item, service or node with a quote in its name made lines at /metrics that no reader of the format understands, or that name another job; a line end in a service's name made a line of its own.

Cause: labels were written as they came, by each place for itself.

Change: one function writes a line; the places whose labels hold text from outside use it.

--- a/eiderhub/batch/progress.py
+++ b/eiderhub/batch/progress.py
@@ -10,6 +10,7 @@
 
 from eiderhub.batch.jobs import ItemState, JobTable
 from eiderhub.batch.messages import ItemKey
+from eiderhub.metric_lines import metric_line
 
 STUCK_ITEM_S = 4.0  # an item is reported once it has been at one sidecar for this long
 IDLE_JOB_S = 2.0  # a job is reported once no item of it has started or ended for this long
@@ -135,18 +136,19 @@
         nodes = Counter(item.node for item in self._running.values())
         lines = [f"items_waiting {self.waiting}", f"items_out_of_attempts {self.out_of_attempts}"]
         lines += [f"items_running {len(self._running)}", f"jobs_idle {len(self.idle_jobs(now))}"]
-        lines += [f'items_running_at{{node="{node}"}} {count}' for node, count in sorted(nodes.items())]
+        lines += [metric_line("items_running_at", count, node=node) for node, count in sorted(nodes.items())]
         lines += [
-            f'item_held_s{{job="{item.key.job}",item="{item.key.item}",node="{item.node}"}} '
-            f"{now - item.since:.1f}"
+            metric_line(
+                "item_held_s", f"{now - item.since:.1f}", job=item.key.job, item=item.key.item, node=item.node
+            )
             for item in self.stuck(now)[:MAX_REPORTED]
         ]
         lines += [
-            f'results_uncommitted{{job="{job.job}"}} {job.assigned_positions - job.committed_positions}'
+            metric_line("results_uncommitted", job.assigned_positions - job.committed_positions, job=job.job)
             for job in self.uncommitted(now)[:MAX_REPORTED]
         ]
         lines += [
-            f'job_idle_s{{job="{idle_job.job}",late="{idle_job.late:d}"}} {now - idle_job.since:.1f}'
-            for idle_job in self.idle_jobs(now)[:MAX_REPORTED]
+            metric_line("job_idle_s", f"{now - idle.since:.1f}", job=idle.job, late=f"{idle.late:d}")
+            for idle in self.idle_jobs(now)[:MAX_REPORTED]
         ]
         return lines
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -39,6 +39,7 @@
 from eiderhub.dataplane.events import NO_EVENT_ID, Event
 from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS
 from eiderhub.dataplane.routes import Route
+from eiderhub.metric_lines import metric_line
 from eiderhub.request_head import HOST_FIELD, UnsendableRequest, item_head
 from eiderhub.transport.frame_connection import Connection, connect
 from eiderhub.transport.frames import Message
@@ -243,9 +244,9 @@
         ]
         for item in self._items.values():
             if now - item.last_progress_at >= IDLE_METRIC_AFTER_S:
+                idle_s, key = f"{now - item.last_progress_at:.1f}", item.key
                 lines.append(
-                    f'item_idle_s{{job="{item.key.job}",item="{item.key.item}",doing="{item.state_text}"}} '
-                    f"{now - item.last_progress_at:.1f}"
+                    metric_line("item_idle_s", idle_s, job=key.job, item=key.item, doing=item.state_text)
                 )
         return lines
 
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -30,6 +30,7 @@
 from eiderhub.dataplane.items import CALL_TIMEOUT_S, ItemRunner, token_usage
 from eiderhub.dataplane.routes import Route, RouteTable
 from eiderhub.http1 import Exchange
+from eiderhub.metric_lines import metric_line
 from eiderhub.programs.settings import TierSettings
 from eiderhub.request_head import is_origin_form, request_head
 from eiderhub.transport.control_session import ControlSession, control_candidates, zone_of
@@ -370,7 +371,7 @@
         ]
         lines += [f"generation {self.tables.configuration.generation}"]
         for name, admission in self._admissions.items():
-            lines += [f'{metric}{{service="{name}"}} {value}' for metric, value in admission.metrics()]
+            lines += [metric_line(metric, value, service=name) for metric, value in admission.metrics()]
         return lines + self._item_runner.metrics() + TRAFFIC.metric_lines() + WIRE_COUNTS.metric_lines()
 
     # --- shutdown ---
--- a/eiderhub/programs/storage_service.py
+++ b/eiderhub/programs/storage_service.py
@@ -29,6 +29,7 @@
 from eiderhub.coordination.roster import address_of
 from eiderhub.coordination.timing import GroupSize, copies_needed
 from eiderhub.dataplane.routes import RouteTable
+from eiderhub.metric_lines import metric_line
 from eiderhub.programs.batch_calls import BatchCall, BatchCalls
 from eiderhub.programs.dead_letters import DeadLetterTask
 from eiderhub.programs.replica_host import ReplicaHost, health_metric_lines
@@ -347,7 +348,7 @@
         ]
         lines += [f'items_returned{{reason="{r.value}"}} {n}' for r, n in scheduler_status.returns.items()]
         for worker in self._dispatcher.scheduler.workers.values():
-            lines.append(f'window{{node="{worker.node}"}} {worker.window:.1f}')
+            lines.append(metric_line("window", f"{worker.window:.1f}", node=worker.node))
         return lines + self._progress_monitor.metric_lines(self._now())
 
     def _assign_items(self) -> None:
