Batch items: a body is found however its client encodes the item's id

Cause: the query was read as a form, where a plus sign is a space, and as Latin-1.

Change: a plus sign is asked for as itself, then as a space, within the job; bytes are UTF-8.

Evidence: 27 pairs of ids and encodings in the regression test, which needs the new function.

--- a/eiderhub/batch/job_ids.py
+++ b/eiderhub/batch/job_ids.py
@@ -32,6 +32,17 @@
     return name_of_id(job_id) if is_identifier(job_id) else None
 
 
+def items_in_query(query: bytes) -> tuple[str, ...]:
+    """The ids of items that the `id` of a query may mean, the likelier first.
+
+    A plus sign stands for itself in a URL and for a space in the encoding of forms; clients use either.
+    """
+    parameters = (parameter.partition(b"=") for parameter in query.split(b"&"))
+    encoded = next((value for name, _, value in parameters if name == b"id"), b"")
+    meanings = (encoded, encoded.replace(b"+", b" "))
+    return tuple(dict.fromkeys(unquote_to_bytes(each).decode(errors="replace") for each in meanings))
+
+
 def errors_key(job_id: str) -> str:
     """The key of the failed attempts of a job's items."""
     return ERRORS_PREFIX + name_in_key(job_id, MAX_KEY_BYTES - len(ERRORS_PREFIX))
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -16,7 +16,7 @@
 import picologging as logging
 
 from eiderhub import address
-from eiderhub.batch.job_ids import name_in_path, name_of_id
+from eiderhub.batch.job_ids import items_in_query, name_in_path, name_of_id
 from eiderhub.batch.messages import Answer
 from eiderhub.control.distribution import Tables
 from eiderhub.control.errors import HTTP_STATUS, ErrorKind
@@ -336,27 +336,34 @@
         self._send_answer(exchange, answer)
 
     async def _read_or_end_batch(self, exchange: ClientExchange) -> None:
-        path, _, query_text = exchange.url.partition(b"?")
-        query = parse_qs(query_text.decode("latin-1"))
+        path, _, query = exchange.url.partition(b"?")
         reads_body = path.startswith(ITEMS_PATH)
         job = name_in_path(path.removeprefix(ITEMS_PATH if reads_body else LOTS_PATH))
         if job is None:
             exchange.respond(HTTP_STATUS[ErrorKind.UNKNOWN])
             return
         if reads_body:
-            answer = await self._item_runner.body(job, query.get("id", [""])[0])
+            answer = await self._read_body(job, query)
         elif exchange.method == b"DELETE":
             answer = await self._item_runner.end(job)
             self._send_answer(exchange, answer)
             return
         else:
             wait_ms = min(MAX_RESULT_WAIT_MS, max(0.0, _parse_number(exchange.headers.get(b"wait-ms"), 0.0)))
-            start = _parse_position(query.get("start_after", ["0"])[0])
+            start = _parse_position(parse_qs(query.decode("latin-1")).get("start_after", ["0"])[0])
             answer = await self._item_runner.read(job, start, int(wait_ms))
         if answer.status == HTTP_STATUS[ErrorKind.UNCERTAIN]:  # a read can simply be retried
             answer = Answer(answer.call, HTTP_STATUS[ErrorKind.NOT_READY])
         self._send_answer(exchange, answer)
 
+    async def _read_body(self, job: str, query: bytes) -> Answer:
+        """The body of the item that a query names."""
+        for item in items_in_query(query):
+            answer = await self._item_runner.body(job, item)
+            if answer.status != HTTP_STATUS[ErrorKind.UNKNOWN]:
+                break
+        return answer
+
     @staticmethod
     def _send_answer(exchange: ClientExchange, answer: Answer) -> None:
         exchange.respond(answer.status, answer.body, JSON_HEADER)
--- a/tests/test_outside_ids.py
+++ b/tests/test_outside_ids.py
@@ -8,14 +8,23 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
-from urllib.parse import quote_from_bytes
+from urllib.parse import quote, quote_from_bytes, quote_plus
 
 import msgspec
 import pytest
 
 from eiderhub.batch import job_ids
-from eiderhub.batch.job_ids import BODY_PREFIX, JOB_PREFIX, name_in_path, name_of_id, result_key
+from eiderhub.batch.job_ids import (
+    BODY_PREFIX,
+    JOB_PREFIX,
+    items_in_query,
+    name_in_path,
+    name_of_id,
+    result_key,
+)
 from eiderhub.batch.jobs import ItemRecord, JobRecord, JobTable, ResultPage
 from eiderhub.batch.messages import ItemKey
 from eiderhub.control import retirement
@@ -133,6 +142,17 @@
             play_jobs(tmp_path / str(seed), seed)
 
 
+@pytest.mark.parametrize("item", ["a", "a+b", "a b", "é", "50%", "a&b=c", "a#b", "a/b", "+"])
+@pytest.mark.parametrize(
+    "encode", [quote, quote_plus, partial(quote, safe="/+=")], ids=["uri", "form", "raw plus"]
+)
+def test_query_names_the_item_however_it_is_encoded(item: str, encode: Callable[[str], str]) -> None:
+    """Guards against a body that is answered 404 for how its client writes a plus sign, or a space."""
+    query = f"x=1&id={encode(item)}&y".encode()
+    assert item in items_in_query(query)
+    assert items_in_query(f"id={item}".encode())[0] == item or "%" in item or "&" in item
+
+
 @pytest.mark.parametrize("part", [b"", b"%20a", b"a%20", b"a%0Ab", b"a%00"])
 def test_path_that_no_request_id_can_have_names_no_job(part: bytes) -> None:
     """Guards against a path that reads a job by the digest that stands for its id."""
