Routes: every acknowledged host and prefix is found by the requests for it

Cause: the port of a Host header was cut off before the look-up; a prefix was compared as written with a path that clients percent-encode.

Change: a Host header is looked up as it is, then without its port; a prefix is percent-encoded when the table is made.

--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+import re
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 from eiderhub.batch.jobs import MAX_ITEM_HEAD_BYTES
 from eiderhub.control.configuration import weighted_services
@@ -14,6 +16,9 @@
 # Configured numbers are clamped to this range: a configuration may hold any double, and values derived from
 # them must be neither infinite nor 0.
 MIN_NUMBER, MAX_NUMBER = 1e-6, 1e12
+PORT = re.compile(r":\d*$")  # at the end of a Host header
+# What a path may hold as it is; clients encode the rest.
+PATH_CHARACTERS = "".join(map(chr, range(0x21, 0x7F)))
 
 
 class Route(NamedTuple):
@@ -80,10 +85,15 @@
         self.max_body_bytes = int(clamped(limits.get("max_body_bytes", 4 << 20)))
 
     def find(self, host: str, path: str) -> Route | None:
-        """The route of this host with the longest matching path prefix."""
-        for route in self._by_host.get(host.lower(), ()):
-            if path.startswith(route.prefix):
-                return route
+        """The route of this Host header with the longest matching path prefix.
+
+        Its port counts only for routes whose host has one.
+        """
+        full = host.lower()
+        for name in (full, PORT.sub("", full)):
+            for route in self._by_host.get(name, ()):
+                if path.startswith(route.prefix):
+                    return route
         return None
 
 
@@ -103,7 +113,7 @@
     return Route(
         name=entry["name"],
         host=entry["host"].lower(),
-        prefix=entry["path_prefix"],
+        prefix=quote(entry["path_prefix"], safe=PATH_CHARACTERS),
         kind=entry.get("route_kind", "non_idempotent"),
         timeout_ms=route_timeout_ms,
         slo_ms=clamped(entry.get("slo_ms", route_timeout_ms)),
--- a/eiderhub/programs/edge_service.py
+++ b/eiderhub/programs/edge_service.py
@@ -260,7 +260,7 @@
         assert self._routes is not None
         host = exchange.headers.get(b"host", b"").decode(errors="surrogateescape")
         path = exchange.url.partition(b"?")[0]
-        route = self._routes.find(host.partition(":")[0], path.decode("latin-1"))
+        route = self._routes.find(host, path.decode("latin-1"))
         accesses_batch = path.startswith((LOTS_PATH, ITEMS_PATH)) and exchange.method in (b"GET", b"DELETE")
         if accesses_batch and not self._accepts(MAX_BATCH_CALL_S):
             exchange.refuse(ErrorKind.NOT_READY, STOPPING_RETRY_AFTER_US)
--- a/tests/test_any_configuration.py
+++ b/tests/test_any_configuration.py
@@ -7,6 +7,7 @@
 import random
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import pytest
 
@@ -135,6 +136,39 @@
     assert len(SEEDS) / 4 < asyncio.run(run(tmp_path)) < len(SEEDS)
 
 
+ROUTE = {"name": "r", "host": "h", "path_prefix": "/r/", "timeout_ms": 1000, "backend": "s"}
+
+
+def route_table(*entries: dict[str, Any]) -> routes.RouteTable:
+    """The table of a configuration with these routes, which is answered 200."""
+    document = {"generation": 1, "routes": list(entries), "backends": [{"name": "s"}]}
+    assert accepted(document) is not None
+    return routes.RouteTable(1, document)
+
+
+HOSTS = ("h", "Nony24.Example", "h:8080", "[::1]", "[::1]:8080", "münchen.example")
+PREFIXES = ("/", "/a/", "/é/", "/a b/", "/a%20b/", "/a//b/", "/A/")
+
+
+@pytest.mark.parametrize("host", HOSTS)
+@pytest.mark.parametrize("prefix", PREFIXES)
+def test_request_for_the_host_and_prefix_of_an_acknowledged_route_finds_it(host: str, prefix: str) -> None:
+    """Guards against a route that is acknowledged and answered 404 to whatever a client may send."""
+    table = route_table(ROUTE | {"host": host, "path_prefix": prefix})
+    path = quote(prefix, safe="/%") + "x"  # as a client has to send it
+    has_port = host.rpartition("]")[2].count(":") > 0
+    for header in (host, host.upper(), host if has_port else f"{host}:80"):
+        assert table.find(header, path) is table.by_name["r"]
+    assert table.find("other", path) is table.find(f"x{host}", path) is None
+
+
+def test_host_with_a_port_has_routes_of_its_own() -> None:
+    """Guards against a request for one port that a route of another one takes."""
+    table = route_table(*(ROUTE | {"name": name, "host": name} for name in ("h", "h:81")))
+    found = [table.find(header, "/r/x") for header in ("h", "h:80", "h:81")]
+    assert [each and each.name for each in found] == ["h", "h", "h:81"]
+
+
 def test_planted_conversion_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Planted: a value of any type is converted as a number."""
     monkeypatch.setattr(routes, "number_or", lambda value, default: value)
