Batch items: a text that no store can hold is a failed run, no write

Cause: what an endpoint sends for an item was collected without a bound, and a result is written as it comes.

Change: a text may take 4 MiB, an event as much; an item with more is returned as failed, without progress, and runs from its first event again.

Why it works: the bound lies below what any store takes that is larger than 21 MB, and is held where the text is collected.

--- a/eiderhub/dataplane/admission.py
+++ b/eiderhub/dataplane/admission.py
@@ -283,7 +283,10 @@
             if not self._accept_event(event):
                 self._note_refused_continuation()
                 self._abort_exchange()
+            if self.finished:
                 return
+        if self._parser.is_oversized:
+            self._abort_exchange()
 
     def _accept_event(self, event: Event) -> bool:
         call = self._call
--- a/eiderhub/dataplane/events.py
+++ b/eiderhub/dataplane/events.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 NO_EVENT_ID = -1
+MAX_EVENT_BYTES = 4 << 20
 MAX_EVENT_ID_DIGITS = 18  # larger numbers do not fit into messages
 MEDIA_TYPE = b"text/event-stream"
 
@@ -52,6 +53,11 @@
         self._buffer = buffer[start:]
         return events
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the incomplete event is larger than any that is accepted."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds an incomplete event."""
--- a/eiderhub/dataplane/items.py
+++ b/eiderhub/dataplane/items.py
@@ -51,6 +51,7 @@
 IDLE_METRIC_AFTER_S = 4.0  # items without progress for this long get a metric of their own
 ITEM_TIMEOUT_S = 60.0  # limit of an item's execution on this sidecar
 MAX_TOKENS = 10**12  # of a Token-Usage header; more are counted as so many
+MAX_TEXT_BYTES = 4 << 20  # of an item's result; every store can hold one, and a message many
 CHECK_INTERVAL_S = 0.25  # of items and the session
 # An item without progress for this long is returned. An endpoint whose machine has lost power sends neither
 # data nor a reset, and would otherwise hold the item for ITEM_TIMEOUT_S.
@@ -101,6 +102,7 @@
         self.key = order.key
         earlier = started_progress(order)
         self.texts: list[str] = list(earlier.texts) if earlier is not None else []
+        self._text_bytes = sum(len(text.encode()) for text in self.texts)
         self._started = False
         self.last_progress_at = runner.now()
         self._no_data_checks = 0  # consecutive checks without data from any endpoint
@@ -119,6 +121,9 @@
             self._runner.on_item_started(self)
         if event.has_output:
             self.texts.append(event.data)
+            self._text_bytes += len(event.raw_bytes)
+            if self._text_bytes > MAX_TEXT_BYTES:
+                self._runner.give_up_oversized(self)
 
     def finish(self) -> None:
         self._runner.on_item_ended(ItemFinished(self.key, True, "\n".join(self.texts)))
@@ -471,6 +476,14 @@
     def return_item(self, item: RunningItem, reason: ReturnReason) -> None:
         self.on_item_ended(item.return_message(reason))
 
+    def give_up_oversized(self, item: RunningItem) -> None:
+        """Return an item whose text is too large to be stored; its next run begins at the first event."""
+        log.warning("%s %s: its text is over %d bytes", item.key.job, item.key.item, MAX_TEXT_BYTES)
+        if item.call is not None and item.admission is not None:
+            item.admission.abandon(item.call)
+        errors = item.call.server_errors if item.call is not None else 0
+        self.on_item_ended(ItemReturned(item.key, ReturnReason.FAILED, errors, NO_PROGRESS))
+
     def return_all_items(self) -> None:
         """Return all items as the sidecar stops, with their progress, so that other sidecars resume them."""
         self.stopping = True
--- a/tests/test_continuations.py
+++ b/tests/test_continuations.py
@@ -19,6 +19,7 @@
 from eiderhub.dataplane.endpoint_connections import Headers
 from eiderhub.dataplane.response_verdict import UNPROCESSABLE_STATUS, CallProgress, Response, Verdict
 from eiderhub.dataplane.routes import Route
+from eiderhub.storage.store import UNLIMITED_BYTES
 from tests.endpoint_support import (
     TIMEOUT_S,
     AdmissionHarness,
@@ -31,6 +32,7 @@
 from tests.items_support import running_harness, wait_for_results
 
 EVENTS = 5
+SMALL_STORE_BYTES = 24 << 20  # takes results of up to a fifth of it
 SEEDS = range(40)
 STATUSES = (201, 204, 301, 304, 307, 400, 404, 409, 410, 413, UNPROCESSABLE_STATUS, 429, 500, 502, 503, 504)
 STREAM_HEAD = (
@@ -271,9 +273,10 @@
 )  # fmt: skip
 
 
-async def run_item(folder: Path, serve: Script) -> str:
+async def run_item(folder: Path, serve: Script, store_bytes: int = UNLIMITED_BYTES) -> str:
     """Run an item, at a sidecar of a real storage service, until it is listed as succeeded; its text."""
     async with running_harness(folder) as harness:
+        harness.storage.store.limit_bytes = store_bytes
         sidecar = await harness.add_sidecar("edge-0")
         endpoints = AdmissionHarness(*(ScriptedEndpoint(f"i-{n}", serve) for n in range(2)))
         await endpoints.start(make_route("batch", max_attempts=2, resumable=True))
@@ -355,3 +358,27 @@
         request.send(stream(request, *events))
 
     assert asyncio.run(run_item(tmp_path, serve)) == "\n".join(map(str, range(EVENTS)))
+
+
+def oversized_text(request: EndpointRequest) -> bytes:
+    events = (f"id: {number}\ndata: {'x' * (1 << 20)}\n\n" for number in range(6))
+    return stream(request, *events)
+
+
+def oversized_event(request: EndpointRequest) -> bytes:
+    return stream(request, f"id: 0\ndata: {'x' * (6 << 20)}\n\n")
+
+
+@pytest.mark.parametrize("oversized", [oversized_text, oversized_event])
+def test_item_whose_text_no_store_can_hold_is_run_again(
+    tmp_path: Path, oversized: Callable[[EndpointRequest], bytes]
+) -> None:
+    """Guards against a result that the store refuses: each storage primary in turn steps down for it."""
+    runs = itertools.count()
+
+    async def serve(request: EndpointRequest) -> None:
+        is_first = next(runs) == 0
+        request.send(oversized(request) if is_first else stream(request, *map(event, range(EVENTS))))
+
+    text = asyncio.run(run_item(tmp_path, serve, SMALL_STORE_BYTES))
+    assert text == "\n".join(map(str, range(EVENTS)))
