Operator API: an If-Match or a machine's name of any form is read, or refused

Callers saw: a change with an If-Match of digits outside ASCII, or of thousands of digits, was answered 500 at every control node; a machine whose name holds a slash or a letter outside ASCII was answered 404 when it was to be retired.

Cause: str.isdigit is true of text that int refuses; the path was taken as the gateway gives it, as Latin-1 and with %2F undecoded.

Change: If-Match is a number of up to 19 ASCII digits, in quotes or not, else 400; the path is percent-decoded as UTF-8 once. The command encodes the name.

Before, the server gave /retire/a%2Fb and another text for a letter outside ASCII (a run of it by hand).

--- a/eiderhub/cli/tier.py
+++ b/eiderhub/cli/tier.py
@@ -7,6 +7,7 @@
 import sys
 from pathlib import Path
 from typing import Any
+from urllib.parse import quote
 
 import click
 import defopt
@@ -125,7 +126,8 @@
     :param ask: only print the progress
     """
     body = b"" if ask else json.dumps({"deadline_s": deadline_s}).encode()
-    return _print_answer(*_call(address, "GET" if ask else "POST", f"/retire/{node}", body), "taken")
+    path = f"/retire/{quote(node, safe='')}"
+    return _print_answer(*_call(address, "GET" if ask else "POST", path, body), "taken")
 
 
 def store_check(folder: Path) -> int:
--- a/eiderhub/programs/operator_service.py
+++ b/eiderhub/programs/operator_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from urllib.parse import quote
@@ -31,6 +32,15 @@
 
 log = logging.getLogger("operator")
 
+_GENERATION = re.compile(r'\s*("?)([0-9]{1,19})\1\s*')
+
+
+def parse_generation(if_match: str) -> int | None:
+    """The generation in an If-Match header, with or without quotes; None if it is not one."""
+    found = _GENERATION.fullmatch(if_match)
+    return int(found[2]) if found is not None else None
+
+
 PendingChangeResult = ChangeResult[asyncio.Future["PendingChangeResult"]]
 
 
@@ -109,8 +119,8 @@
         if primary is None or primary == self._node.identity or is_auxiliary(primary):
             return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
         host = address.parse_host_port(address_of(primary)).host
-        path = quote(call.path, encoding="latin-1", errors="replace")
-        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=f"http://{host}:{self._control_port}{path}")
+        location = f"http://{host}:{self._control_port}{quote(call.path)}"
+        return Reply(HTTPStatus.TEMPORARY_REDIRECT, location=location)
 
     @staticmethod
     def _refusal_reply(refusal: Refusal) -> Reply:
@@ -146,11 +156,11 @@
         return Reply(HTTPStatus.OK, newest.body)
 
     async def _change_configuration(self, call: Call) -> Reply:
-        base_generation = call.if_match.strip().strip('"')
-        if not base_generation.isdigit():
+        base_generation = parse_generation(call.if_match)
+        if base_generation is None:
             return self._refusal_reply(Refusal(ErrorKind.INVALID, "If-Match: must be a generation"))
         future: asyncio.Future[PendingChangeResult] = asyncio.get_running_loop().create_future()
-        self.change_processor.submit(Change(int(base_generation), call.method == "PATCH", call.body), future)
+        self.change_processor.submit(Change(base_generation, call.method == "PATCH", call.body), future)
         self._group.flush()
         result = await future
         if result.outcome is ChangeOutcome.REFUSED and result.refusal is not None:
--- a/eiderhub/transport/operator_http.py
+++ b/eiderhub/transport/operator_http.py
@@ -11,6 +11,7 @@
 from concurrent.futures import TimeoutError as FutureTimeout
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import unquote, urlsplit
 
 from cheroot import wsgi
 
@@ -21,6 +22,14 @@
 MAX_BODY_BYTES = 32 << 20
 
 
+def decoded_path(request_uri: str) -> str:
+    """The path of a request, percent-decoded as UTF-8."""
+    path = request_uri.partition("?")[0]
+    if not path.startswith("/"):  # in absolute form
+        path = urlsplit(path).path
+    return unquote(path, errors="replace")
+
+
 class OperatorServer:
     """Serves requests until `stop` is called. `handle` runs on the event loop that created the server."""
 
@@ -34,6 +43,12 @@
         self._thread = threading.Thread(target=self._server.serve, name="operator", daemon=True)
         self._thread.start()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """The host and port on which it listens."""
+        host, port = self._server.bind_addr
+        return host, port
+
     def stop(self) -> None:
         self._server.stop()
 
@@ -43,9 +58,8 @@
             reply = Reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         else:
             body = environ["wsgi.input"].read(size) if size else environ["wsgi.input"].read()
-            call = Call(
-                environ["REQUEST_METHOD"], environ["PATH_INFO"], environ.get("HTTP_IF_MATCH", ""), body
-            )
+            path = decoded_path(environ["REQUEST_URI"])
+            call = Call(environ["REQUEST_METHOD"], path, environ.get("HTTP_IF_MATCH", ""), body)
             reply = self._answer(call)
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(reply.body)))]
         if reply.location:
