--- a/tests/soak/account.py
+++ b/tests/soak/account.py
@@ -6,7 +6,9 @@
 
 from tests.soak.clients import Outcome, Reply
 from tests.soak.endpoints import POISON_SUFFIX, ExecutionLog, item_text
+from tests.tier_support import route
 
+ITEM_ATTEMPTS = route("lots")["max_attempts"]  # answers of 500 before an item may be a dead letter
 CLOSE_RACE_S = 0.25  # a request that is sent less than this before a close may cross with it
 INTERRUPTION_MARGIN_S = 6.0  # before and after an interruption, in which lost requests are excused
 
@@ -144,8 +146,11 @@
             if state == "succeeded" and text != item_text(item):
                 self.add_violation(f"MIXED: {item} of {job.id} has the text {text[:60]!r}")
             if state == "dead_letter" and not item.endswith(POISON_SUFFIX) and not job.cancelled:
-                if item not in self._executions.failed:
-                    self.add_violation(f"MIXED: {item} of {job.id} is a dead letter, but no endpoint failed")
+                errors = self._executions.server_errors[item]
+                if errors < ITEM_ATTEMPTS:
+                    self.add_violation(
+                        f"MIXED: {item} of {job.id} is a dead letter after {errors} answers of 500"
+                    )
 
     # --- changes ---
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -12,6 +12,10 @@
 MEAN_EVENT_INTERVAL_S = 0.01  # between events of a stream
 POISON_SUFFIX = "p"  # no endpoint can process an item whose id has this suffix
 BREAK_SHARE = 0.03  # of events at which a stream breaks off, with odd answers
+COMMENT_SHARE = 0.2  # of events that a comment precedes, with odd answers
+UNPROVEN_SHARE = 0.01  # of executions that are answered like requests that have not run, with odd answers
+UNPROVEN_STATUSES = (408, 429, 503)
+REPEAT_SHARE, MEAN_REPEAT_DELAY_S = 0.5, 0.02  # of answers of 500 that come a second time, with odd answers
 EMPTY_STREAM = 0
 ODD_STATUSES = (EMPTY_STREAM, 200, 204, 301, 307, 400, 404, 410, 413, 500, 502, 504)
 RESET_SHARE, ERROR_SHARE, HANG_SHARE, NOT_EXECUTED_SHARE = 0.01, 0.02, 0.004, 0.01
@@ -23,6 +27,7 @@
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
         self.failed: set[str] = set()  # an endpoint failed, closed the connection or hung during execution
+        self.server_errors: Counter[str] = Counter()  # answers of 500
         self.signatures: dict[str, set[str]] = {}
 
     def record_start(self, request_id: str, identity: str) -> str:
@@ -50,6 +55,7 @@
         self._rng = rng
         # By connection: the id of the request in progress, or empty.
         self._requests: dict[asyncio.StreamWriter, str] = {}
+        self._repeats: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -94,9 +100,16 @@
             self._write_odd_continuation(writer, request_id, signature)
         elif request_id.endswith(POISON_SUFFIX):
             self._write_response(writer, request_id, 422, b"", f"Response-Signature: {signature}\r\n")
+        elif self._odd_share and self._rng.random() < UNPROVEN_SHARE:
+            self._executions.failed.add(request_id)
+            status = self._rng.choice(UNPROVEN_STATUSES)
+            self._write_response(writer, request_id, status, b"", f"Response-Signature: {signature}\r\n")
         elif draw < ERROR_SHARE:
             self._executions.failed.add(request_id)
+            self._executions.server_errors[request_id] += 1
             self._write_response(writer, request_id, 500, b"", f"Response-Signature: {signature}\r\n")
+            if self._odd_share and self._rng.random() < REPEAT_SHARE:
+                self._repeats.add(asyncio.create_task(self._repeat_error(writer, request_id, signature)))
         elif draw < ERROR_SHARE + RESET_SHARE:
             self._executions.failed.add(request_id)
             writer.transport.abort()
@@ -111,9 +124,17 @@
             await self._write_stream(headers, writer, request_id, signature)
         return True
 
+    async def _repeat_error(self, writer: asyncio.StreamWriter, request_id: str, signature: str) -> None:
+        """Give an answer a second time, in whatever is in progress on the connection by then."""
+        await asyncio.sleep(self._rng.expovariate(1 / MEAN_REPEAT_DELAY_S))
+        if writer in self._requests:
+            self._executions.failed.add(self._requests[writer])
+            self._write_response(writer, request_id, 500, b"", f"Response-Signature: {signature}\r\n")
+
     def _write_odd_continuation(self, writer: asyncio.StreamWriter, request_id: str, signature: str) -> None:
         """Answer the request for the rest of a stream with anything but that, a 422 excepted."""
         status = self._rng.choice(ODD_STATUSES)
+        self._executions.server_errors[request_id] += status == 500
         fields = f"Response-Signature: {signature}\r\n"
         if status == EMPTY_STREAM:
             status, fields = 200, fields + "Content-Type: text/event-stream\r\n"
@@ -143,6 +164,8 @@
                 self._executions.failed.add(request_id)
                 writer.transport.abort()
                 return
+            if self._odd_share and request_id.startswith("i") and self._rng.random() < COMMENT_SHARE:
+                writer.write(b"8\r\n: ping\n\n\r\n")
             event = f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
 
 STOP_TIMEOUT_S = 8.0
 POLL_INTERVAL_S = 0.25
+NESTED_JOB_SHARE, NESTING = 0.1, 20_000  # jobs that are nested too deeply, with odd input
 ODD_SHARE = 0.3  # of continuations, with odd input
 START_TIMEOUT_S = 60.0
 FOUNDING_S = 6.0  # until the groups bear the tolerated losses
@@ -208,6 +209,8 @@
             items = [name + POISON_SUFFIX if self.rng.random() < 0.02 else name for name in names]
             job_id = self._job_id(number)
             job = self.account.jobs[job_id] = BatchJob(job_id, items)
+            if self.settings.odd_input and self.rng.random() < NESTED_JOB_SHARE:
+                await self._submit_nested_job(number)
             if await self._submit_job(job):
                 for _ in range(self.rng.randint(0, 4)):
                     await self._read_results(job, self.rng.choice([0, len(job.results)]))
@@ -218,6 +221,15 @@
                     await self._connection(self._pick_edge()).call("DELETE", path, Host=HOST)
             await asyncio.sleep(self.rng.expovariate(1 / 0.2))
 
+    async def _submit_nested_job(self, number: int) -> None:
+        """Submit what no process can read; the jobs of others go on."""
+        body = b'{"requests":[],"note":' + b"[" * NESTING + b"]" * NESTING + b"}"
+        connection = self._connection(self._pick_edge())
+        reply = await connection.call("POST", "/lots/x", body, Host=HOST, Request_Id=f"nested{number}")
+        connection.close()
+        if reply.status == 202:
+            self.account.add_violation(f"JOB: nested{number} cannot be read and was accepted")
+
     def _job_id(self, number: int) -> str:
         """An id of its own for a job."""
         if not self.settings.odd_input:
