--- a/eiderhub/batch/job_ids.py
+++ b/eiderhub/batch/job_ids.py
@@ -35,11 +35,11 @@
 def items_in_query(query: bytes) -> tuple[str, ...]:
     """The ids of items that the `id` of a query may mean, the likelier first.
 
-    A plus sign stands for itself in a URL and for a space in the encoding of forms; clients use either.
+    A plus sign stands for a space in the encoding of forms, which most clients use, and else for itself.
     """
     parameters = (parameter.partition(b"=") for parameter in query.split(b"&"))
     encoded = next((value for name, _, value in parameters if name == b"id"), b"")
-    meanings = (encoded, encoded.replace(b"+", b" "))
+    meanings = (encoded.replace(b"+", b" "), encoded)
     return tuple(dict.fromkeys(unquote_to_bytes(each).decode(errors="replace") for each in meanings))
 
 
