Stores: one that lost power before its first sync is begun again

Cause: the file's existence was taken for a store that can be opened.

Change: where one of LMDB's two meta pages never reached the disk, and nothing foreign stands in their place, the store is begun again. Both pages precede all else, so that nothing was acknowledged from such a file.

Evidence: eight such files in the regression tests; on the empty one and the zeros were refused, those cut within two pages ended the test run by a bus error. Foreign and damaged files are refused and left as they are.

--- a/eiderhub/storage/store.py
+++ b/eiderhub/storage/store.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import mmap
 import os
+import struct
 import time
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
@@ -30,6 +32,8 @@
 # snapshot of the state has to fit beside it.
 MAX_WRITE_SHARE = 0.2
 VERSION_KEY, IDENTITY_KEY, EPOCH_KEY, POSITION_KEY = b"version", b"identity", b"epoch", b"position"
+META_PAGES = 2  # at the start of an LMDB file
+LMDB_MAGIC, MAGIC_OFFSET = struct.pack("=I", 0xBEEFC0DE), 16  # in each of them
 REOPEN_INTERVAL_S = 1.0  # between attempts to reopen a store after a disk failure
 ACTIVE_KEY, STAGED_KEY = b"active", b"staged"
 TABLES = (b"data", b"data-b")  # one holds the state, the other a staged snapshot
@@ -59,6 +63,19 @@
     return _change_slot_key(position.version % recent_changes.RETAINED_ENTRIES)
 
 
+def _was_never_synced(path: Path) -> bool:
+    """Whether one of LMDB's two meta pages never reached the disk, which precede everything else.
+
+    The machine lost power before the first sync of the store, so that nothing in it was ever relied on.
+    """
+    with path.open("rb") as file:
+        pages = [file.read(mmap.PAGESIZE) for _ in range(META_PAGES)]
+    written = [page for page in pages if any(page)]
+    is_lmdb = all(page[MAGIC_OFFSET:].startswith(LMDB_MAGIC) for page in written)
+    is_whole = all(len(page) == mmap.PAGESIZE for page in written) and len(written) == META_PAGES
+    return is_lmdb and not is_whole
+
+
 class StoreUnusable(Exception):
     """The environment cannot be opened, or its version or record format is not supported."""
 
@@ -92,6 +109,7 @@
             raise StoreUnusable(f"{path}: there is no store")
         if not read_only:
             folder.mkdir(parents=True, exist_ok=True)
+            self._remove_if_never_synced()
         self._map_bytes = max(MIN_MAP_BYTES, int(disk_mb * MAP_SHARE_OF_DISK) << 20)
         self._read_only = read_only
         try:
@@ -103,6 +121,19 @@
         except (lmdb.Error, OSError, msgspec.DecodeError) as error:
             raise StoreUnusable(f"{path}: {error}") from error
 
+    def _remove_if_never_synced(self) -> None:
+        """Begin again with an empty store where the first one never came to be.
+
+        Raises:
+            StoreUnusable: the disk fails.
+        """
+        try:
+            if not self.created and _was_never_synced(self._path):
+                self._path.unlink()
+                self.created = True
+        except OSError as error:
+            raise StoreUnusable(f"{self._path}: {error}") from error
+
     def _check_readable(self) -> None:
         """Check the store version and the record format without writing.
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,6 +6,8 @@
 import subprocess
 import sys
 import textwrap
+from collections.abc import Callable
+from mmap import PAGESIZE
 from pathlib import Path
 from typing import Any
 
@@ -22,7 +24,7 @@
 )
 from eiderhub.coordination.replication import Replica
 from eiderhub.coordination.store import INITIAL_POSITION, StoreFailed
-from eiderhub.storage.store import REOPEN_INTERVAL_S, LmdbStore, StoreUnusable
+from eiderhub.storage.store import FILE_NAME, REOPEN_INTERVAL_S, LmdbStore, StoreUnusable
 
 DISK_MB = 16.0
 
@@ -53,6 +55,50 @@
     assert store.limit_bytes == int(DISK_MB * 0.9) << 20
 
 
+@pytest.mark.parametrize(
+    "pages", [b"", bytes(PAGESIZE), bytes(8 * PAGESIZE)], ids=["empty", "a page", "zeros"]
+)
+def test_store_whose_first_sync_never_came_is_begun_again(tmp_path: Path, pages: bytes) -> None:
+    """Guards against a program that ends at each start, as power was lost while its store was made."""
+    (tmp_path / FILE_NAME).write_bytes(pages)
+    store = LmdbStore(tmp_path, DISK_MB, "new@h:1")
+    assert (store.identity, store.created, store.position) == ("new@h:1", True, INITIAL_POSITION)
+    store.apply([update(1, Write("a", b"1"))])
+    store.close()
+    assert LmdbStore(tmp_path, DISK_MB, "other@h:1").entries() == [Write("a", b"1")]
+
+
+HALF_WRITTEN: dict[str, Callable[[bytes], bytes]] = {
+    "first page lost": lambda data: bytes(PAGESIZE) + data[PAGESIZE:],
+    "second page lost": lambda data: data[:PAGESIZE] + bytes(PAGESIZE) + data[2 * PAGESIZE :],
+    "one page": lambda data: data[:PAGESIZE],
+    "half a page": lambda data: data[: PAGESIZE // 2],
+    "one and a half": lambda data: data[: PAGESIZE * 3 // 2],
+}
+
+
+@pytest.mark.parametrize("kept", HALF_WRITTEN.values(), ids=list(HALF_WRITTEN))
+def test_store_with_a_part_of_its_first_write_is_begun_again(
+    tmp_path: Path, kept: Callable[[bytes], bytes]
+) -> None:
+    """Guards against a first write of which the disk kept a part."""
+    LmdbStore(tmp_path, DISK_MB, "old@h:1").close()
+    data = (tmp_path / FILE_NAME).read_bytes()
+    (tmp_path / FILE_NAME).write_bytes(kept(data))
+    assert LmdbStore(tmp_path, DISK_MB, "new@h:1").identity == "new@h:1"
+
+
+def test_damaged_store_that_was_synced_is_not_begun_again(tmp_path: Path) -> None:
+    """Guards against a store that is thrown away for a fault of its disk."""
+    LmdbStore(tmp_path, DISK_MB, "old@h:1").close()
+    data = bytearray((tmp_path / FILE_NAME).read_bytes())
+    data[: 2 * PAGESIZE] = b"x" * (2 * PAGESIZE)
+    (tmp_path / FILE_NAME).write_bytes(data)
+    with pytest.raises(StoreUnusable):
+        LmdbStore(tmp_path, DISK_MB, "new@h:1")
+    assert (tmp_path / FILE_NAME).read_bytes() == bytes(data)
+
+
 def test_snapshot_replaces_the_whole_state(tmp_path: Path) -> None:
     store = LmdbStore(tmp_path, DISK_MB, "id@h:1")
     store.apply([update(1, Write("old", b"1"))])
