Batch jobs: expired ones are removed at twenty a second, not two

Cause: one expired job was removed at each search, every half a second.

Change: up to ten, each in a commit of its own.

--- a/eiderhub/programs/dead_letters.py
+++ b/eiderhub/programs/dead_letters.py
@@ -18,6 +18,7 @@
 from eiderhub.transport.group import CommitOutcomeUnknown, GroupDriver, NotPrimary
 
 CHECK_INTERVAL_S = 0.5  # between searches for dead letters
+MAX_PURGED_JOBS = 10  # at each search; above the rate at which jobs arrive
 ERROR_PAUSE_S = 1.0  # after an unexpected exception
 
 log = logging.getLogger("storage")
@@ -50,7 +51,7 @@
             try:
                 if self._group.leads():
                     await self._list_dead_letters()
-                    await self._purge_ended_job()
+                    await self._purge_ended_jobs()
             except (NotPrimary, CommitOutcomeUnknown):
                 pass  # the next primary does the rest
             except Exception as error:  # the task must go on, or such items would wait forever
@@ -75,6 +76,15 @@
         for key in keys:
             self._on_dead_letter(key)
 
-    async def _purge_ended_job(self) -> None:
-        """Remove one job whose status retention has expired."""
-        await self._group.commit(lambda: self._jobs.purge_expired(time.time(), self._status_ttl_s))
+    async def _purge_ended_jobs(self) -> None:
+        """Remove jobs whose status retention has expired, each in a commit of its own."""
+        for _ in range(MAX_PURGED_JOBS):
+            purged: list[Write] = []
+
+            def change(purged: list[Write] = purged) -> list[Write]:
+                purged += self._jobs.purge_expired(time.time(), self._status_ttl_s)
+                return purged
+
+            await self._group.commit(change)
+            if not purged:
+                return
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import pytest
 
-from eiderhub.batch.jobs import INITIAL_RESULT_BYTES
+from eiderhub.batch.job_ids import JOB_PREFIX
+from eiderhub.batch.jobs import INITIAL_RESULT_BYTES, JobRecord
 from eiderhub.batch.messages import ItemKey, RunItem
 from eiderhub.batch.workers import MIN_WINDOW, WorkerHealth
 from eiderhub.control.errors import ErrorKind, Refusal
@@ -36,6 +38,7 @@
 )
 from tests.tier_support import document
 
+EXPIRED_JOBS = 100  # too many for the bound of a wait, at two a second
 RECONNECT_GRACE_S = 0.8  # time for a disconnected sidecar to reconnect
 
 
@@ -409,3 +412,18 @@
             assert harness.storage.store.get("errors/job") is None
 
     asyncio.run(test())
+
+
+def test_expired_jobs_are_removed_faster_than_jobs_arrive(tmp_path: Path) -> None:
+    """Guards against a store that fills with expired jobs: one was removed every half a second."""
+
+    async def test() -> None:
+        async with running_harness(tmp_path) as harness:
+            service = harness.storage.service
+            records = [JobRecord(f"old-{n}", ROUTE, 1.0, 1.0, 1.0, 1, [], True) for n in range(EXPIRED_JOBS)]
+            await service.group.write([Write(JOB_PREFIX + r.id, msgspec.msgpack.encode(r)) for r in records])
+            service._jobs.load()
+            await wait_until(lambda: not service._jobs.jobs, "all expired jobs are removed")
+            assert list(harness.storage.store.scan(JOB_PREFIX)) == []
+
+    asyncio.run(test())
