Routes: one host and prefix in two forms is no valid configuration

Callers saw: of two routes with one host whose prefixes differ only in what is percent-encoded, both acknowledged, one got no request since prefixes are encoded when the table is made.

Change: they are compared in the encoded form where a configuration is validated (PROTOCOL: two routes that share host and prefix are invalid).

Evidence: the regression test failed before.

--- a/eiderhub/control/configuration.py
+++ b/eiderhub/control/configuration.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from functools import lru_cache
 from typing import Any, NamedTuple
+from urllib.parse import quote
 
 from result import Err, Ok, Result
 
@@ -24,6 +25,8 @@
 LAST_PURGED_KEY = "config/forgotten"  # the last generation whose digest was purged
 RETAINED_CHANGES = 20_000  # digests retained to recognize a change that is sent again
 PURGE_BATCH = 500  # digests deleted at once
+# What a path may hold as it is; clients encode the rest.
+PATH_CHARACTERS = "".join(map(chr, range(0x21, 0x7F)))
 NAMED_LISTS = ("routes", "backends", "tenants")
 MAX_GENERATION = (1 << 63) - 1
 MAX_REASON_CHARACTERS = 300
@@ -139,6 +142,11 @@
     return [(route["backend"], 1.0)] if "backend" in route else []
 
 
+def encoded_prefix(prefix: str) -> str:
+    """A path prefix as clients have to write it."""
+    return quote(prefix, safe=PATH_CHARACTERS)
+
+
 class SchemaError(NamedTuple):
     """A violation of the JSON schema, and its path in the document."""
 
@@ -234,7 +242,7 @@
             return _invalid(f"route {route['name']}: unknown service {', '.join(unknown) or '(none given)'}")
         if sum(weight for _, weight in services) <= 0:
             return _invalid(f"route {route['name']}: the weights sum to 0")
-        host_prefix = (route["host"].lower(), route["path_prefix"])
+        host_prefix = (route["host"].lower(), encoded_prefix(route["path_prefix"]))
         if host_prefix in host_prefixes:
             return _invalid(f"route {route['name']}: another route has the same host and path prefix")
         host_prefixes.add(host_prefix)
--- a/eiderhub/dataplane/routes.py
+++ b/eiderhub/dataplane/routes.py
@@ -5,10 +5,9 @@
 import random
 import re
 from typing import Any, NamedTuple
-from urllib.parse import quote
 
 from eiderhub.batch.jobs import MAX_ITEM_HEAD_BYTES
-from eiderhub.control.configuration import weighted_services
+from eiderhub.control.configuration import encoded_prefix, weighted_services
 from eiderhub.control.spending import capped_tenants
 
 DEFAULT_MAX_ATTEMPTS = 1
@@ -17,8 +16,6 @@
 # them must be neither infinite nor 0.
 MIN_NUMBER, MAX_NUMBER = 1e-6, 1e12
 PORT = re.compile(r":\d*$")  # at the end of a Host header
-# What a path may hold as it is; clients encode the rest.
-PATH_CHARACTERS = "".join(map(chr, range(0x21, 0x7F)))
 
 
 class Route(NamedTuple):
@@ -113,7 +110,7 @@
     return Route(
         name=entry["name"],
         host=entry["host"].lower(),
-        prefix=quote(entry["path_prefix"], safe=PATH_CHARACTERS),
+        prefix=encoded_prefix(entry["path_prefix"]),
         kind=entry.get("route_kind", "non_idempotent"),
         timeout_ms=route_timeout_ms,
         slo_ms=clamped(entry.get("slo_ms", route_timeout_ms)),
--- a/tests/test_any_configuration.py
+++ b/tests/test_any_configuration.py
@@ -162,6 +162,13 @@
     assert table.find("other", path) is table.find(f"x{host}", path) is None
 
 
+def test_two_routes_with_one_prefix_in_two_forms_are_refused() -> None:
+    """Guards against a route that is acknowledged and never found, as another one has its requests."""
+    forms = [ROUTE | {"name": prefix, "path_prefix": prefix} for prefix in ("/é/", "/%C3%A9/")]
+    document = {"generation": 1, "routes": forms, "backends": [{"name": "s"}]}
+    assert accepted(document) is None
+
+
 def test_host_with_a_port_has_routes_of_its_own() -> None:
     """Guards against a request for one port that a route of another one takes."""
     table = route_table(*(ROUTE | {"name": name, "host": name} for name in ("h", "h:81")))
