Model: planted faults follow the signatures of the decision on a change

Two planted faults, "two changes are decided concurrently, on uncommitted state" and "the digest of an accepted change is not stored", were not found any more: their replacements of ChangeProcessor._begin and configuration.decide call with the arguments of before and raised an error instead of playing the fault. They pass on the checked items now, and are found as before (tests/test_planted_faults.py, all four of these tests).

--- a/tests/model/planted.py
+++ b/tests/model/planted.py
@@ -78,7 +78,7 @@
 
 def _answer_repeat_at_once(self: Any, now: float, order: Any) -> Any:
     if self.leads(now):
-        decided = self._decide(order.change)
+        decided = self._decide(order.change, order.checked)
         if decided.is_ok() and not decided.ok_value.writes:
             return ChangeResult(order.caller, ChangeOutcome.ACKNOWLEDGED)
     return _begin(self, now, order)
@@ -174,9 +174,9 @@
 
 
 def _forget_recorded_digest(
-    current: Any, recorded_digest: Any, last_purged: int, change: Any, document: Any
+    current: Any, recorded_digest: Any, last_purged: int, change: Any, document: Any, items: Any
 ) -> Any:
-    return _decide(current, None, last_purged, change, document)
+    return _decide(current, None, last_purged, change, document, items)
 
 
 def _record_at_arrival(freshness: Any, answer: Any, now: float) -> None:
