--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -205,7 +205,9 @@
         self.notes: list[str] = []
         number = os.getpid()
         self._subnet = f"127.{64 + number % 120}.{1 + number // 120 % 250}"
-        self.endpoints = [Endpoint(self, f"i-{n + 1}", ZONES[n % len(ZONES)]) for n in range(endpoints)]
+        self.endpoints = [
+            Endpoint(self, f"i-{n + 1}", ZONES[n % len(ZONES)]) for n in range(endpoints)
+        ]
         self.programs: list[Program] = []
         self._counts = (edges, storage)
 
